--- /dev/null
+++ b/internal/benchwire/facts.go
@@ -0,0 +1,182 @@
+package benchwire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"scalechute/logic"
+)
+
+// names resolves the wire's names for what the module knows by number.
+type names struct {
+	profiles map[string]logic.ProfileID
+	accounts map[string]logic.AccountID
+	zones    map[string]logic.ZoneID
+	heldAt   int // place of the held count in a load report, -1 if there is none
+}
+
+func (n *names) zone(name string) logic.ZoneID {
+	id, ok := n.zones[name]
+	if !ok {
+		id = logic.ZoneID(len(n.zones))
+		n.zones[name] = id
+	}
+	return id
+}
+
+func us(ns int64) logic.Micros { return logic.Micros(ns / 1000) }
+
+// orders decodes the settings of a new instance. Unknown keys are ignored, absent ones are zero.
+func orders(raw json.RawMessage) (logic.StandingOrders, *names, error) {
+	var f struct {
+		Azs        []string
+		Categories []struct {
+			Name       string
+			AimNs      int64   `json:"aim_ns"`
+			DeadlineNs int64   `json:"deadline_ns"`
+			LateWorth  float64 `json:"late_worth"`
+			WindowNs   int64   `json:"window_ns"`
+			Effect     string
+			Group      string
+			Stream     bool
+			Value      float64
+		}
+		FamilyInfo struct {
+			AnswerWaitNs     int64     `json:"answer_wait_ns"`
+			BakeNs           int64     `json:"bake_ns"`
+			CapScope         string    `json:"cap_scope"`
+			Caps             []float64 `json:"caps"`
+			ComplaintShare   float64   `json:"complaint_share"`
+			Control          string    `json:"control"`
+			ExposureWindowNs int64     `json:"exposure_window_ns"`
+			Free             float64   `json:"free"`
+			HarmFee          float64   `json:"harm_fee"`
+			Layout           string    `json:"layout"`
+			NoReturn         bool      `json:"no_return"`
+			OnVotes          int       `json:"on_votes"`
+			Shares           []float64 `json:"shares"`
+			Shielded         int       `json:"shielded"`
+			StaleBuildPrice  float64   `json:"stale_build_price"`
+			VoteTTLNs        int64     `json:"vote_ttl_ns"`
+			VotesPerS        float64   `json:"votes_per_s"`
+			VotesToHold      int       `json:"votes_to_hold"`
+			VotesToRevert    int       `json:"votes_to_revert"`
+		} `json:"family_info"`
+		GranularityNs int64 `json:"granularity_ns"`
+		Limits        struct {
+			Cancel          bool  `json:"cancel"`
+			ConnectTimeout  int64 `json:"connect_timeout_ns"`
+			MaxAttempts     int   `json:"max_attempts"`
+			MaxRetryAfterNs int64 `json:"max_retry_after_ns"`
+			MayProbe        bool  `json:"may_probe"`
+			ParallelTries   bool  `json:"parallel_tries"`
+			Peers           bool  `json:"peers"`
+			RetryAfter      bool  `json:"retry_after"`
+		}
+		OverShareWorth float64 `json:"over_share_worth"`
+		Position       int
+		Prices         struct {
+			CrossZone float64 `json:"cross_zone"`
+			Waste     float64
+		}
+		RegistryMode string `json:"registry_mode"`
+		ReplicasOfMe int    `json:"replicas_of_me"`
+		Report       struct {
+			Fields []string
+			How    string
+		}
+		Rules struct {
+			AskWithinNs     int64   `json:"ask_within_ns"`
+			ColdFrom        float64 `json:"cold_from"`
+			DrainGraceNs    int64   `json:"drain_grace_ns"`
+			FallMultiple    float64 `json:"fall_multiple"`
+			FallNs          int64   `json:"fall_ns"`
+			GraceToAnswerNs int64   `json:"grace_to_answer_ns"`
+			WarmUpNs        int64   `json:"warm_up_ns"`
+		}
+		Tenants []struct {
+			Name      string
+			Fraction  float64
+			QuotaPerS float64 `json:"quota_per_s"`
+		}
+		Zone string
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return logic.StandingOrders{}, nil, fmt.Errorf("facts: %w", err)
+	}
+	n := &names{
+		profiles: map[string]logic.ProfileID{},
+		accounts: map[string]logic.AccountID{},
+		zones:    map[string]logic.ZoneID{},
+		heldAt:   -1,
+	}
+	for _, z := range f.Azs {
+		n.zone(z)
+	}
+	o := logic.StandingOrders{
+		Sentries: f.ReplicasOfMe, Position: logic.SentryID(f.Position), Zone: n.zone(f.Zone),
+		AskForList: f.RegistryMode == "on_request", AskWithin: us(f.Rules.AskWithinNs),
+		MayProbe: f.Limits.MayProbe, MayCancel: f.Limits.Cancel, MayCopy: f.Limits.ParallelTries,
+		MayMessage: f.Limits.Peers, MayNameReturn: f.Limits.RetryAfter,
+		MostHandOffs: f.Limits.MaxAttempts, MostReturn: us(f.Limits.MaxRetryAfterNs),
+		ConnectLimit: us(f.Limits.ConnectTimeout), Tick: us(f.GranularityNs),
+		AnswerGrace: us(f.Rules.GraceToAnswerNs), DrainGrace: us(f.Rules.DrainGraceNs),
+		ColdFrom: f.Rules.ColdFrom, WarmUp: us(f.Rules.WarmUpNs),
+		FallMultiple: f.Rules.FallMultiple, FallSpan: us(f.Rules.FallNs),
+		BesideEarlier: f.FamilyInfo.Layout == "beside",
+		StageShares:   f.FamilyInfo.Shares, StageCaps: f.FamilyInfo.Caps,
+		FreeExposure: f.FamilyInfo.Free, ExposureWindow: us(f.FamilyInfo.ExposureWindowNs),
+		ExposureByProfile: f.FamilyInfo.CapScope == "class",
+		GuardedStages:     f.FamilyInfo.Shielded, ForwardOnly: f.FamilyInfo.NoReturn,
+		OnVotes: f.FamilyInfo.OnVotes, HoldVotes: f.FamilyInfo.VotesToHold, BackVotes: f.FamilyInfo.VotesToRevert,
+		VoteLife: us(f.FamilyInfo.VoteTTLNs), VoteWait: us(f.FamilyInfo.AnswerWaitNs),
+		VotesPerSecond: f.FamilyInfo.VotesPerS, Bake: us(f.FamilyInfo.BakeNs),
+		ComplaintShare: f.FamilyInfo.ComplaintShare,
+		BehindPrice:    f.FamilyInfo.StaleBuildPrice, HarmPrice: f.FamilyInfo.HarmFee,
+		CrossPrice: f.Prices.CrossZone, WastePrice: f.Prices.Waste, OverShareValue: f.OverShareWorth,
+	}
+	switch f.FamilyInfo.Control {
+	case "share":
+		o.Control = logic.ControlShare
+	case "timer":
+		o.Control = logic.ControlTimer
+	default:
+		o.Control = logic.ControlAny
+	}
+	for i, c := range f.Categories {
+		n.profiles[c.Name] = logic.ProfileID(i)
+		p := logic.Profile{
+			DueTime: us(c.AimNs), OuterLimit: us(c.DeadlineNs), Value: c.Value, LateShare: c.LateWorth,
+			Window: us(c.WindowNs), Streamed: c.Stream,
+		}
+		switch c.Effect {
+		case "retryable":
+			p.Repeat = logic.Redoable
+		case "dedup":
+			p.Repeat = logic.Labelled
+		default:
+			p.Repeat = logic.Irreversible
+		}
+		switch c.Group {
+		case "zone":
+			p.Scope = logic.ScopeZone
+		case "cell":
+			p.Scope = logic.ScopeCell
+		default:
+			p.Scope = logic.ScopeAll
+		}
+		o.Profiles = append(o.Profiles, p)
+	}
+	for i, t := range f.Tenants {
+		n.accounts[t.Name] = logic.AccountID(i)
+		o.Accounts = append(o.Accounts, logic.Account{Share: t.Fraction, Quota: t.QuotaPerS})
+	}
+	if f.Report.How != "off" {
+		for i, name := range f.Report.Fields {
+			if name == "busy_reqs" {
+				n.heldAt = i
+			}
+		}
+	}
+	return o, n, nil
+}
--- /dev/null
+++ b/internal/benchwire/wire.go
@@ -0,0 +1,394 @@
+// Package benchwire turns the bench's wire into calls of the decision module and the module's results back into the
+// wire. It decides nothing.
+package benchwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"scalechute/logic"
+)
+
+// instance is one sentry of the bench with what the wire needs beside it.
+type instance struct {
+	number int64
+	sentry *logic.Sentry
+	names  *names
+	wakes  []logic.Micros // outstanding wake-ups, the earliest last
+}
+
+type link struct {
+	out       *bufio.Writer
+	clock     logic.Micros
+	origin    int64 // nanoseconds of the clock beyond whole microseconds
+	instances map[int64]*instance
+	lists     map[int64][]json.RawMessage
+}
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	l := &link{
+		out:       bufio.NewWriterSize(out, 1<<16),
+		instances: map[int64]*instance{},
+		lists:     map[int64][]json.RawMessage{},
+	}
+	r := bufio.NewReaderSize(in, 1<<16)
+	for number := 1; ; number++ {
+		line, err := r.ReadBytes('\n')
+		if trimmed := bytes.TrimSpace(line); len(trimmed) > 0 {
+			if err := l.line(trimmed); err != nil {
+				return fmt.Errorf("line %d: %w", number, err)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// fields are the values of one message. The first wrong one is kept in err.
+type fields struct {
+	kind   string
+	values []json.RawMessage
+	err    error
+}
+
+func (f *fields) read(i int, into any, must bool) {
+	if f.err != nil {
+		return
+	}
+	if i >= len(f.values) || bytes.Equal(f.values[i], []byte("null")) {
+		if must {
+			f.err = fmt.Errorf("%s: value %d is missing", f.kind, i)
+		}
+		return
+	}
+	if err := json.Unmarshal(f.values[i], into); err != nil {
+		f.err = fmt.Errorf("%s: value %d: %w", f.kind, i, err)
+	}
+}
+
+func (f *fields) integer(i int) (v int64) { f.read(i, &v, false); return v }
+func (f *fields) real(i int) (v float64)  { f.read(i, &v, false); return v }
+func (f *fields) truth(i int) (v bool)    { f.read(i, &v, false); return v }
+func (f *fields) text(i int) (v string)   { f.read(i, &v, false); return v }
+func (f *fields) must(i int) (v string)   { f.read(i, &v, true); return v }
+func (f *fields) time(i int) logic.Micros { return us(f.integer(i)) }
+
+func (l *link) line(line []byte) error {
+	var values []json.RawMessage
+	if err := json.Unmarshal(line, &values); err != nil {
+		return err
+	}
+	if len(values) == 0 {
+		return errors.New("empty message")
+	}
+	f := &fields{kind: "message", values: values}
+	name := f.must(0)
+	if f.err != nil {
+		return f.err
+	}
+	f.kind = name
+	f.values = values[1:]
+	switch name {
+	case "mark":
+		f.must64(0)
+		now := f.integer(0)
+		l.clock, l.origin = us(now), now%1000
+	case "your_turn":
+		l.out.WriteString("[\"finished\"]\n")
+		return l.out.Flush()
+	case "census":
+		var entries []json.RawMessage
+		f.read(1, &entries, false)
+		if f.err == nil {
+			l.lists[f.integer(0)] = entries
+		}
+	default:
+		return l.event(f)
+	}
+	return f.err
+}
+
+func (f *fields) must64(i int) {
+	var v int64
+	f.read(i, &v, true)
+}
+
+// event hands one event to its instance and writes what comes back. A panic of the module ends the day by name.
+func (l *link) event(f *fields) (err error) {
+	f.must64(0)
+	who := f.integer(0)
+	if f.err != nil {
+		return f.err
+	}
+	if f.kind == "new_instance" {
+		return l.start(who, f)
+	}
+	in := l.instances[who]
+	if in == nil {
+		return fmt.Errorf("%s: no instance %d", f.kind, who)
+	}
+	if f.kind == "exit" {
+		delete(l.instances, who)
+		return nil
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			l.write("die", who, fmt.Sprint(p))
+			err = nil
+		}
+	}()
+	res, known := l.call(in, f)
+	if f.err != nil || !known {
+		return f.err
+	}
+	l.carryOut(in, res)
+	return nil
+}
+
+func (l *link) start(who int64, f *fields) error {
+	var facts json.RawMessage
+	f.read(2, &facts, true)
+	var seed uint64
+	f.read(1, &seed, false)
+	if f.err != nil {
+		return f.err
+	}
+	o, n, err := orders(facts)
+	if err != nil {
+		return err
+	}
+	l.instances[who] = &instance{number: who, sentry: logic.New(o, int64(seed)), names: n}
+	return nil
+}
+
+var endings = map[string]logic.Ending{
+	"GOOD": logic.Answered, "BAD": logic.Errored, "FULL": logic.TurnedAway, "LATE": logic.TimedOut,
+	"NOCONN": logic.Unconnected, "RST": logic.Broken, "CXL": logic.Cancelled, "NOP": logic.Unsent,
+}
+
+func (f *fields) ending(i int) logic.Ending {
+	word := f.must(i)
+	e, ok := endings[word]
+	if !ok && f.err == nil {
+		f.err = fmt.Errorf("%s: unknown outcome %q", f.kind, word)
+	}
+	return e
+}
+
+func (in *instance) held(f *fields, i int) float64 {
+	var row []*float64
+	f.read(i, &row, false)
+	if in.names.heldAt < 0 || in.names.heldAt >= len(row) || row[in.names.heldAt] == nil {
+		return -1
+	}
+	return *row[in.names.heldAt]
+}
+
+func (in *instance) profile(f *fields, i int) logic.ProfileID {
+	name := f.must(i)
+	id, ok := in.names.profiles[name]
+	if !ok && f.err == nil {
+		f.err = fmt.Errorf("%s: unknown class %q", f.kind, name)
+	}
+	return id
+}
+
+// call decodes one event and makes the module's call for it. Unknown kinds of event are passed over.
+func (l *link) call(in *instance, f *fields) (res logic.Result, known bool) {
+	s, now := in.sentry, l.clock
+	var do func() logic.Result
+	switch f.kind {
+	case "query":
+		t := logic.Transaction{
+			ID: logic.TransactionID(f.must(1)), Profile: in.profile(f, 2), Account: logic.NoAccount,
+			Key: logic.Key(f.text(4)), Limit: f.time(5),
+		}
+		var account any
+		f.read(3, &account, false)
+		if name, ok := account.(string); ok {
+			if id, ok := in.names.accounts[name]; ok {
+				t.Account = id
+			}
+		}
+		bits := f.integer(7)
+		if bits&1 != 0 {
+			t.Hint = f.time(6)
+		}
+		t.Again = bits&2 != 0
+		do = func() logic.Result { return s.Arrive(now, t) }
+	case "ack_first":
+		id, number := logic.TransactionID(f.must(1)), int(f.integer(3))
+		do = func() logic.Result { return s.AnswerBegan(now, id, number) }
+	case "ended":
+		e := logic.HandOffEnd{
+			Transaction: logic.TransactionID(f.must(1)), HandOff: int(f.integer(2)),
+			Worker: logic.WorkerID(f.must(3)), Ending: f.ending(4), Took: f.time(5), Closed: f.truth(6),
+			Held: in.held(f, 7),
+		}
+		do = func() logic.Result { return s.HandOffEnded(now, e) }
+	case "left":
+		id := logic.TransactionID(f.must(1))
+		do = func() logic.Result { return s.ClientLeft(now, id) }
+	case "bell":
+		token := logic.Micros(f.integer(1))
+		do = func() logic.Result {
+			for len(in.wakes) > 0 && in.wakes[len(in.wakes)-1] <= token {
+				in.wakes = in.wakes[:len(in.wakes)-1]
+			}
+			return s.Wake(now)
+		}
+	case "endpoints":
+		do = l.listCall(in, f)
+	case "promotion":
+		fate, ok := map[string]logic.VoteFate{
+			"GOOD": logic.VoteStands, "NOP": logic.VoteMoot, "FULL": logic.VoteRefused, "BAD": logic.VoteRefused,
+			"LATE": logic.VoteUnanswered,
+		}[f.must(5)]
+		if !ok && f.err == nil {
+			f.err = fmt.Errorf("%s: unknown result", f.kind)
+		}
+		n := logic.News{
+			Valid: fate == logic.VoteStands, Cap: f.real(1), Age: f.time(2), Build: logic.BuildID(f.integer(3)),
+			Stage: int(f.integer(4)), Phase: logic.Phase(f.integer(7)), Fate: fate,
+		}
+		if f.integer(6) == 0 {
+			n.Fate = logic.NoVoteAsked
+		}
+		do = func() logic.Result { return s.Told(now, n) }
+	case "counts_by_build":
+		t := logic.Tally{
+			HandOffs: int(f.integer(1)), Profile: in.profile(f, 2), Failed: int(f.integer(3)),
+			Build: logic.BuildID(f.integer(4)), Age: f.time(5), MeanTook: f.time(6),
+		}
+		do = func() logic.Result { return s.Tallied(now, t) }
+	case "reported_wrong":
+		c := logic.Complaint{Age: f.time(1), Profile: in.profile(f, 2), Worker: logic.WorkerID(f.must(3))}
+		do = func() logic.Result { return s.Complained(now, c) }
+	case "sampled":
+		id, e, took, held := logic.WorkerID(f.must(1)), f.ending(2), f.time(3), in.held(f, 4)
+		do = func() logic.Result { return s.Probed(now, id, e, took, held) }
+	case "mail":
+		from := logic.SentryID(f.integer(1))
+		body, err := base64.StdEncoding.DecodeString(f.text(2))
+		if err != nil && f.err == nil {
+			f.err = fmt.Errorf("%s: %w", f.kind, err)
+		}
+		do = func() logic.Result { return s.PeerSaid(now, from, body) }
+	default:
+		return res, false
+	}
+	if f.err != nil {
+		return res, false
+	}
+	return do(), true
+}
+
+func (l *link) listCall(in *instance, f *fields) func() logic.Result {
+	s, now := in.sentry, l.clock
+	kinds := map[string]logic.ListKind{
+		"changes": logic.ListChanges, "all": logic.ListWhole, "remembered": logic.ListRemembered,
+	}
+	word := f.must(1)
+	kind, ok := kinds[word]
+	if !ok {
+		if word != "refused" && f.err == nil {
+			f.err = fmt.Errorf("%s: unknown mode %q", f.kind, word)
+		}
+		return func() logic.Result { return s.AskFailed(now) }
+	}
+	rows, ok := l.lists[f.integer(3)]
+	if !ok && f.err == nil {
+		f.err = fmt.Errorf("%s: no census %d", f.kind, f.integer(3))
+	}
+	workers := make([]logic.Worker, 0, len(rows))
+	states := map[string]logic.WorkerState{"live": logic.Ready, "quiescing": logic.Draining, "dead": logic.Gone}
+	for _, raw := range rows {
+		e := &fields{kind: "census entry"}
+		if err := json.Unmarshal(raw, &e.values); err != nil {
+			f.err = fmt.Errorf("census entry: %w", err)
+			break
+		}
+		w := logic.Worker{
+			Cell: int(e.integer(0)), Started: e.time(1), Size: e.real(2), Zone: in.names.zone(e.text(3)),
+			Build: logic.BuildID(e.real(5)), ID: logic.WorkerID(e.must(7)),
+		}
+		health := e.must(6)
+		if w.State, ok = states[health]; !ok && e.err == nil {
+			e.err = fmt.Errorf("census entry: unknown health %q", health)
+		}
+		if e.err != nil {
+			f.err = e.err
+			break
+		}
+		workers = append(workers, w)
+	}
+	return func() logic.Result { return s.Listed(now, kind, workers) }
+}
+
+func (l *link) write(values ...any) {
+	line, err := json.Marshal(values)
+	if err != nil {
+		panic(err) // only plain values are ever written
+	}
+	l.out.Write(line)
+	l.out.WriteByte('\n')
+}
+
+func (l *link) ns(t logic.Micros) int64 { return int64(t)*1000 + l.origin }
+
+// carryOut writes a result. A wake-up is asked for only if none that stands comes as early.
+func (l *link) carryOut(in *instance, res logic.Result) {
+	who := in.number
+	for _, r := range res.Rulings {
+		switch r.Kind {
+		case logic.HandOff:
+			l.write("route", who, r.Transaction, r.Worker, l.ns(r.Until))
+		case logic.CancelHandOff:
+			l.write("revoke", who, r.Transaction, r.Number)
+		case logic.Defer:
+			l.write("bounce", who, r.Transaction, int64(r.ComeBack)*1000)
+		case logic.WriteOff:
+			l.write("fail", who, r.Transaction)
+		}
+	}
+	for _, v := range res.Votes {
+		l.write("say_so", who, v.Build, v.Stage, map[logic.Verdict]int{
+			logic.NoVerdict: 0, logic.GoOn: 1, logic.Hold: 2, logic.GoBack: 3}[v.Verdict])
+	}
+	if res.Follow {
+		l.write("watch", who, true)
+	}
+	if res.ReadList {
+		l.write("read_list", who)
+	}
+	for _, id := range res.Probes {
+		l.write("sample", who, id)
+	}
+	for _, m := range res.Messages {
+		var to any = m.To
+		if m.To == logic.EverySentry {
+			to = "*"
+		}
+		l.write("publish", who, to, base64.StdEncoding.EncodeToString(m.Body))
+	}
+	for _, n := range res.Notes {
+		l.write("say_log", who, n)
+	}
+	if at := res.WakeAt; at > 0 && (len(in.wakes) == 0 || at < in.wakes[len(in.wakes)-1]) {
+		if at <= l.clock {
+			at = l.clock + 1
+		}
+		in.wakes = append(in.wakes, at)
+		l.write("sleep", who, l.ns(at), int64(at))
+	}
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,934 @@
+// Package logic holds every decision of a sentry: which build and worker a transaction goes to, what happens when a
+// hand-off fails, and how the sentry votes on the build on trial.
+//
+// How to call it: make one Sentry with New, from its StandingOrders and a seed, then make one call for each thing that
+// happens (Arrive, HandOffEnded, Listed, Told, ...), each with the caller's time. Every call returns a Result; carry
+// it out in order and call Wake when its WakeAt comes. Nothing else is kept or shared. The types are in port.go.
+//
+// Reading order: the chain (admit, assign, pick, hand off), the workers, the list, the judge.
+package logic
+
+import (
+	"cmp"
+	"container/heap"
+	"crypto/md5"
+	"encoding/binary"
+	"math/rand"
+	"slices"
+	"strconv"
+)
+
+const (
+	second = Micros(1_000_000)
+
+	// From the design page.
+	voteBackAt  = 4.0        // a sum above it votes back
+	voteOnBelow = 2.0        // a sum under it may vote on
+	leastSample = 20         // outcomes before a vote on
+	settleTime  = 3 * second // a worker this young is not judged on time
+	noAlarmTime = 5 * second
+	firstRate   = 0.05 // assumed before anything was seen
+
+	// Open on the design page.
+	lean        = 1.3  // share sent to the trial build, to its share of what the fleet can do
+	errorSlack  = 0.01 // excess of errors that is let pass
+	errorWeight = 1.5  // three errors close together reach voteBackAt
+	barShare    = 0.2  // share of the earlier build's answers that take longer than the bar
+	lateSlack   = 0.12 // excess over the bar that is let pass
+	rateFade    = 0.02
+	paceFade    = 0.12
+	faultFade   = 0.25
+	shunAbove   = 0.5
+)
+
+type handOff struct {
+	worker int
+	build  BuildID
+	sent   Micros
+	over   bool
+	mayRun bool // not proven not to have run
+	end    HandOffEnd
+}
+
+type transaction struct {
+	Transaction
+	arrived Micros
+	slot    int // 0 to 99, by the two-build hash
+	lane    BuildID
+	worker  int
+	sends   []handOff
+	closed  bool
+	held    bool
+	copied  bool
+}
+
+// profileRow is what differs by profile.
+type profileRow struct {
+	Profile
+	expected float64 // usual time of an answer of the earlier build
+	bar      float64 // barShare of these take longer
+	errors   float64 // the earlier build's rate of errors
+	errorSum float64 // sums of the trial's excess
+	lateSum  float64
+}
+
+type alarm struct {
+	at Micros
+	t  *transaction
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int           { return len(a) }
+func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(x any)        { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// Sentry is one instance. Its calls must not overlap.
+type Sentry struct {
+	orders   StandingOrders
+	chance   *rand.Rand
+	now      Micros
+	out      Result
+	open     map[TransactionID]*transaction
+	alarms   alarms
+	held     []*transaction
+	profiles []profileRow
+	arrivals []Micros
+	spare    float64 // further hand-offs that the budget still bears
+
+	// Workers, under a dense index.
+	index   map[WorkerID]int
+	workers []Worker
+	inHand  []int     // own open hand-offs
+	others  []float64 // reported load beyond these
+	pace    []float64 // time of answers to what is expected
+	faults  []float64 // smoothed share of failures
+	shunned []Micros  // not before then
+	revived []Micros  // answered then, after it had been down
+	down    []bool
+	recent  [][]Micros // hand-offs while cold
+
+	// The list.
+	following bool
+	askAt     Micros
+	askWait   Micros
+
+	// The build on trial.
+	news     News
+	toldAt   Micros
+	base     BuildID
+	sentBack map[BuildID]bool
+	reach    int // slots under it go to the trial
+	met      map[Key]BuildID
+	exposed  [][]Micros // hand-offs to the trial, by profile or all in the first
+	judged   int
+	errorSum float64
+	lateSum  float64
+	blamed   bool
+	voted    Vote
+	votedAt  Micros
+	voteNext Micros
+}
+
+// New makes a sentry from its orders and the seed of its chance.
+func New(o StandingOrders, seed int64) *Sentry {
+	s := &Sentry{
+		orders: o, chance: rand.New(rand.NewSource(seed)),
+		open: map[TransactionID]*transaction{}, index: map[WorkerID]int{},
+		sentBack: map[BuildID]bool{}, met: map[Key]BuildID{},
+		exposed: make([][]Micros, max(1, len(o.Profiles))),
+	}
+	for _, p := range o.Profiles {
+		s.profiles = append(s.profiles, profileRow{
+			Profile: p, expected: float64(p.DueTime) / 6, bar: float64(p.DueTime) / 4, errors: firstRate})
+	}
+	return s
+}
+
+// begin and finish frame every call.
+func (s *Sentry) begin(now Micros) {
+	s.now = max(s.now, now)
+	s.out = Result{}
+}
+
+func (s *Sentry) finish() Result {
+	s.keepList()
+	s.vote()
+	wake := Micros(0)
+	for len(s.alarms) > 0 && s.alarms[0].t.closed {
+		heap.Pop(&s.alarms)
+	}
+	if len(s.alarms) > 0 {
+		wake = s.alarms[0].at
+	}
+	for _, at := range [...]Micros{s.askAt, s.voteNext} {
+		if at > s.now && (wake == 0 || at < wake) {
+			wake = at
+		}
+	}
+	s.out.WakeAt = wake
+	return s.out
+}
+
+func (s *Sentry) alarm(at Micros, t *transaction) { heap.Push(&s.alarms, alarm{max(at, s.now+1), t}) }
+
+// ---- The chain ----
+
+type step int
+
+const (
+	pass step = iota
+	keep
+	end
+)
+
+// A stage sees a transaction on its way out and each ended hand-off on its way back.
+type stage struct {
+	ahead func(*Sentry, *transaction) step
+	back  func(*Sentry, *transaction, *handOff)
+}
+
+var chain []stage
+
+func init() {
+	chain = []stage{
+		{(*Sentry).admit, (*Sentry).settle},
+		{(*Sentry).assign, (*Sentry).learnBuild},
+		{(*Sentry).pick, (*Sentry).learnWorker},
+		{(*Sentry).handOff, (*Sentry).handOffOver},
+	}
+}
+
+func (s *Sentry) run(t *transaction, from int) {
+	for _, st := range chain[from:] {
+		if st.ahead(s, t) != pass {
+			return
+		}
+	}
+}
+
+// Arrive takes a transaction.
+func (s *Sentry) Arrive(now Micros, in Transaction) Result {
+	s.begin(now)
+	t := &transaction{Transaction: in, arrived: s.now}
+	s.run(t, 0)
+	return s.finish()
+}
+
+// HandOffEnded takes the end of one hand-off back through the chain.
+func (s *Sentry) HandOffEnded(now Micros, e HandOffEnd) Result {
+	s.begin(now)
+	t := s.open[e.Transaction]
+	if t != nil && e.HandOff >= 0 && e.HandOff < len(t.sends) && !t.sends[e.HandOff].over {
+		h := &t.sends[e.HandOff]
+		h.end = e
+		t.closed = t.closed || e.Closed
+		for i := len(chain) - 1; i >= 0; i-- {
+			chain[i].back(s, t, h)
+		}
+	}
+	return s.finish()
+}
+
+// AnswerBegan notes that a stream has started: the transaction belongs to that worker from here.
+func (s *Sentry) AnswerBegan(now Micros, id TransactionID, number int) Result {
+	s.begin(now)
+	if t := s.open[id]; t != nil {
+		t.closed = true
+	}
+	return s.finish()
+}
+
+// ClientLeft ends what is owed for a transaction.
+func (s *Sentry) ClientLeft(now Micros, id TransactionID) Result {
+	s.begin(now)
+	if t := s.open[id]; t != nil {
+		t.closed = true
+		s.forget(t)
+	}
+	return s.finish()
+}
+
+// Wake does what has come due.
+func (s *Sentry) Wake(now Micros) Result {
+	s.begin(now)
+	for len(s.alarms) > 0 && s.alarms[0].at <= s.now {
+		t := heap.Pop(&s.alarms).(alarm).t
+		switch {
+		case t.closed:
+		case t.held:
+			s.run(t, 1)
+		default:
+			s.copyOut(t)
+		}
+	}
+	return s.finish()
+}
+
+func (s *Sentry) admit(t *transaction) step {
+	t.slot = s.chance.Intn(100)
+	s.arrivals = append(s.arrivals, s.now)
+	s.arrivals = trim(s.arrivals, s.now-max(s.orders.ExposureWindow, s.orders.FallSpan))
+	s.spare = min(s.spare+spareShare, spareMost)
+	s.open[t.ID] = t
+	return pass
+}
+
+const (
+	spareShare = 0.1 // further hand-offs and copies, to transactions taken
+	spareMost  = 10
+)
+
+// assign chooses the build: the two-build hash, under the counter, with keys going forward only.
+func (s *Sentry) assign(t *transaction) step {
+	trial, onTrial := s.trial()
+	met := s.orders.ForwardOnly && onTrial && t.Key != "" && s.met[t.Key] == trial
+	t.lane = s.base
+	if onTrial {
+		if t.Key != "" {
+			t.slot = slotOf(t.Key, s.base, trial)
+		}
+		failedThere := len(t.sends) > 0 && t.sends[len(t.sends)-1].build == trial
+		guarded := s.news.Stage < s.orders.GuardedStages && s.profiles[t.Profile].Repeat != Redoable
+		if met || t.slot < s.reach && !guarded && !failedThere {
+			switch {
+			case !guarded && s.mayExpose(t) && s.anyReady(trial, t):
+				t.lane = trial
+			case met:
+				return s.giveUp(t)
+			}
+		}
+	}
+	if !s.anyReady(t.lane, t) {
+		return s.holdBack(t)
+	}
+	return pass
+}
+
+// holdBack keeps a transaction while no worker of its build is ready, for as long as an answer in time is likely.
+func (s *Sentry) holdBack(t *transaction) step {
+	until := min(t.arrived+s.profiles[t.Profile].DueTime/2, t.Limit-s.orders.Tick)
+	if s.now >= until {
+		return s.giveUp(t)
+	}
+	if !t.held {
+		t.held = true
+		s.held = append(s.held, t)
+		s.alarm(until, t)
+	}
+	return keep
+}
+
+// release runs what was held again, when the workers or the news have changed.
+func (s *Sentry) release() {
+	held := s.held
+	s.held = nil
+	for _, t := range held {
+		if t.closed || !t.held {
+			continue
+		}
+		t.held = false
+		s.run(t, 1)
+	}
+}
+
+// giveUp answers at once: a deferral where a retry is harmless, else a write-off.
+func (s *Sentry) giveUp(t *transaction) step {
+	p := &s.profiles[t.Profile]
+	ran := false
+	for i := range t.sends {
+		ran = ran || t.sends[i].mayRun
+	}
+	harmless := !ran || p.Repeat == Redoable || p.Repeat == Labelled && p.Scope == ScopeAll
+	r := Ruling{Kind: WriteOff, Transaction: t.ID}
+	if harmless {
+		r.Kind = Defer
+		if s.orders.MayNameReturn {
+			r.ComeBack = min(p.DueTime/2, s.orders.MostReturn)
+		}
+	}
+	s.out.Rulings = append(s.out.Rulings, r)
+	t.closed = true
+	s.forget(t)
+	return end
+}
+
+// forget drops a transaction that is closed and has nothing out.
+func (s *Sentry) forget(t *transaction) {
+	for i := range t.sends {
+		if !t.sends[i].over {
+			return
+		}
+	}
+	delete(s.open, t.ID)
+}
+
+func (s *Sentry) pick(t *transaction) step {
+	best, bestScore := -1, 0.0
+	offset := s.chance.Intn(len(s.workers))
+	for n := range s.workers {
+		w := (n + offset) % len(s.workers)
+		if !s.ready(w, t.lane, t) {
+			continue
+		}
+		score := s.score(w)
+		if best < 0 || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	if best < 0 {
+		return s.holdBack(t)
+	}
+	t.worker = best
+	return pass
+}
+
+// score is the load of a worker for its size: the lowest wins.
+func (s *Sentry) score(w int) float64 {
+	load := (float64(s.inHand[w]) + s.others[w] + 1) * s.pace[w] / (s.size(w) * s.warmth(w))
+	if s.workers[w].Zone != s.orders.Zone {
+		load *= 1 + 8*s.orders.CrossPrice
+	}
+	if s.shunned[w] > s.now {
+		load *= 100
+	}
+	return load
+}
+
+// ready says whether a worker of the build may get this transaction now.
+func (s *Sentry) ready(w int, b BuildID, t *transaction) bool {
+	if s.workers[w].Build != b || s.workers[w].State != Ready || s.tooCold(w) {
+		return false
+	}
+	p := &s.profiles[t.Profile]
+	for i := range t.sends {
+		h := &t.sends[i]
+		if h.worker == w && (!h.over || len(t.sends) < s.readyCount(b)) {
+			return false
+		}
+		if !h.mayRun || p.Repeat != Labelled {
+			continue
+		}
+		first, this := &s.workers[h.worker], &s.workers[w]
+		if p.Scope == ScopeZone && first.Zone != this.Zone || p.Scope == ScopeCell && first.Cell != this.Cell {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Sentry) readyCount(b BuildID) int {
+	n := 0
+	for w := range s.workers {
+		if s.workers[w].Build == b && s.workers[w].State == Ready {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Sentry) anyReady(b BuildID, t *transaction) bool {
+	for w := range s.workers {
+		if s.ready(w, b, t) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Sentry) handOff(t *transaction) step {
+	p, w := &s.profiles[t.Profile], t.worker
+	until := t.Limit
+	last := len(t.sends)+1 >= s.orders.MostHandOffs || p.Repeat == Irreversible
+	if patience := s.now + p.DueTime*7/10; !last && !s.orders.MayCopy && s.spare >= 1 && patience < until {
+		until = patience
+	}
+	if len(t.sends) > 0 {
+		s.spare--
+	}
+	t.held = false
+	t.sends = append(t.sends, handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true})
+	s.inHand[w]++
+	if s.warmth(w) < 1 {
+		s.recent[w] = append(s.recent[w], s.now)
+	}
+	if trial, onTrial := s.trial(); onTrial && s.workers[w].Build == trial {
+		c := s.counter(t)
+		s.exposed[c] = append(s.exposed[c], s.now)
+	}
+	s.out.Rulings = append(s.out.Rulings, Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: until})
+	if s.orders.MayCopy && p.Repeat != Irreversible && !last && !t.copied {
+		s.alarm(s.now+p.DueTime/2, t)
+	}
+	return end
+}
+
+// copyOut sends a second copy when the first hand-off takes suspiciously long.
+func (s *Sentry) copyOut(t *transaction) {
+	if t.copied || s.spare < 1 || !s.mayRepeat(t) {
+		return
+	}
+	t.copied = true
+	s.run(t, 1)
+}
+
+// mayRepeat is rule 2 and the limits on hand-offs.
+func (s *Sentry) mayRepeat(t *transaction) bool {
+	if len(t.sends) >= s.orders.MostHandOffs || t.Limit-s.now < s.orders.Tick {
+		return false
+	}
+	p := &s.profiles[t.Profile]
+	for i := range t.sends {
+		h := &t.sends[i]
+		if !h.over && !s.orders.MayCopy {
+			return false
+		}
+		if h.mayRun && (p.Repeat == Irreversible || p.Repeat == Labelled && s.now >= h.sent+p.Window-s.orders.Tick) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Sentry) handOffOver(t *transaction, h *handOff) {
+	h.over = true
+	h.mayRun = h.end.Ending != TurnedAway && h.end.Ending != Unconnected && h.end.Ending != Unsent
+	s.inHand[h.worker] = max(0, s.inHand[h.worker]-1)
+}
+
+// settle closes the transaction or sends it again.
+func (s *Sentry) settle(t *transaction, h *handOff) {
+	if t.closed {
+		s.forget(t)
+		return
+	}
+	for i := range t.sends {
+		if !t.sends[i].over {
+			return
+		}
+	}
+	if !s.mayRepeat(t) || h.mayRun && s.spare < 1 {
+		s.giveUp(t)
+		return
+	}
+	s.run(t, 1)
+}
+
+// ---- The workers ----
+
+func (s *Sentry) size(w int) float64 {
+	if z := s.workers[w].Size; z > 0 {
+		return z
+	}
+	return 1
+}
+
+// warmth is the least part of its work that a worker can do by now.
+func (s *Sentry) warmth(w int) float64 {
+	start := max(s.workers[w].Started, s.revived[w])
+	if start <= 0 || s.orders.WarmUp <= 0 {
+		return 1
+	}
+	age := float64(s.now-start) / float64(s.orders.WarmUp)
+	return s.orders.ColdFrom + (1-s.orders.ColdFrom)*min(1, max(0, age))
+}
+
+// tooCold keeps this sentry's part of what all may send a cold worker: half the stated multiple of what a worker
+// of its size gets of this sentry's traffic. It guards against bursts and retries that fall on one cold worker.
+func (s *Sentry) tooCold(w int) bool {
+	warmth := s.warmth(w)
+	if warmth >= 1 {
+		s.recent[w] = nil
+		return false
+	}
+	s.recent[w] = trim(s.recent[w], s.now-s.orders.FallSpan)
+	total := 0.0
+	for v := range s.workers {
+		if s.workers[v].State == Ready {
+			total += s.size(v) * s.warmth(v)
+		}
+	}
+	fair := float64(since(s.arrivals, s.now-s.orders.FallSpan)) * s.size(w) / total
+	return float64(len(s.recent[w])) >= 2+coldPart*s.orders.FallMultiple*warmth*fair
+}
+
+const coldPart = 0.5
+
+// learnWorker books what an ended hand-off says of its worker.
+func (s *Sentry) learnWorker(t *transaction, h *handOff) {
+	w, p := h.worker, &s.profiles[t.Profile]
+	if h.end.Held >= 0 {
+		s.others[w] = max(0, h.end.Held-float64(s.inHand[w]))
+	}
+	if h.end.Ending == Cancelled || h.end.Ending == Unsent {
+		return
+	}
+	bad := 1.0
+	if h.end.Ending == Answered {
+		bad = 0
+	}
+	s.faults[w] += faultFade * (bad - s.faults[w])
+	if h.end.Ending == Answered || h.end.Ending == TimedOut {
+		ratio := min(10, float64(h.end.Took)/p.expected)
+		s.pace[w] += paceFade * (ratio - s.pace[w])
+		s.pace[w] = max(0.3, s.pace[w])
+	}
+	switch h.end.Ending {
+	case Unconnected, Broken:
+		s.down[w] = true
+		s.shunned[w] = s.now + second
+	case Answered:
+		if s.down[w] {
+			s.down[w], s.revived[w] = false, s.now
+		}
+	default:
+		if s.faults[w] > shunAbove {
+			s.shunned[w] = s.now + second
+		}
+	}
+}
+
+// ---- The list ----
+
+// Listed takes a report on the workers.
+func (s *Sentry) Listed(now Micros, kind ListKind, list []Worker) Result {
+	s.begin(now)
+	if kind != ListRemembered {
+		s.following = true
+		s.askWait = 0
+		s.askAt = s.now + s.orders.AskWithin/2
+	}
+	if kind != ListChanges {
+		for w := range s.workers {
+			s.workers[w].State = Gone
+		}
+	}
+	for _, in := range list {
+		w, known := s.index[in.ID]
+		if !known {
+			w = len(s.workers)
+			s.index[in.ID] = w
+			s.workers = append(s.workers, in)
+			s.inHand, s.others = append(s.inHand, 0), append(s.others, 0)
+			s.pace, s.faults = append(s.pace, 1), append(s.faults, 0)
+			s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
+			s.down, s.recent = append(s.down, false), append(s.recent, nil)
+		}
+		if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
+			s.others[w], s.pace[w], s.faults[w], s.shunned[w], s.revived[w], s.down[w] = 0, 1, 0, 0, 0, false
+		}
+		s.workers[w] = in
+	}
+	s.lookAround()
+	return s.finish()
+}
+
+// AskFailed notes that the list could not be had.
+func (s *Sentry) AskFailed(now Micros) Result {
+	s.begin(now)
+	s.following = false
+	s.askWait = min(max(second/2, s.askWait*2), s.orders.AskWithin/4)
+	s.askAt = s.now + s.askWait/2 + Micros(s.chance.Int63n(int64(s.askWait)+1))
+	return s.finish()
+}
+
+// keepList keeps a subscription alive where the list comes only when asked for.
+func (s *Sentry) keepList() {
+	if s.orders.AskForList && s.now >= s.askAt {
+		s.out.Follow = true
+		s.askAt = s.now + max(second, s.orders.AskWithin/2)
+	}
+}
+
+// ---- The build on trial ----
+
+// trial is the build on trial, if there is one that may be sent to.
+func (s *Sentry) trial() (BuildID, bool) {
+	return s.news.Build, s.news.Valid && s.news.Phase == OnTrial
+}
+
+// Told takes the platform's news and the answer to a vote.
+func (s *Sentry) Told(now Micros, n News) Result {
+	s.begin(now)
+	switch n.Fate {
+	case VoteRefused, VoteUnanswered:
+		s.votedAt = 0
+		s.voteNext = s.now + second/4 + Micros(s.chance.Int63n(int64(second)/2))
+	}
+	if n.Valid {
+		if n.Build != s.news.Build || !s.news.Valid {
+			s.newTrial()
+		}
+		if n.Build != s.news.Build || n.Stage != s.news.Stage || n.Phase != s.news.Phase {
+			s.toldAt = s.now - n.Age
+		}
+		if n.Phase == GoingBack || n.Phase == Withdrawn {
+			s.sentBack[n.Build] = true
+			clear(s.met)
+		}
+		s.news = n
+		s.lookAround()
+	}
+	return s.finish()
+}
+
+func (s *Sentry) newTrial() {
+	s.reach, s.judged, s.errorSum, s.lateSum, s.blamed = 0, 0, 0, 0, false
+	s.voted, s.votedAt = Vote{}, 0
+	for i := range s.profiles {
+		s.profiles[i].errorSum, s.profiles[i].lateSum = 0, 0
+	}
+	for i := range s.exposed {
+		s.exposed[i] = nil
+	}
+}
+
+// lookAround finds the earlier build and how far the trial reaches, after news or a list.
+func (s *Sentry) lookAround() {
+	s.base = s.findBase()
+	s.ramp()
+	s.release()
+}
+
+// findBase is the released build, or else the build below the trial that most of the ready workers run.
+func (s *Sentry) findBase() BuildID {
+	if s.news.Valid && s.news.Phase == Released {
+		return s.news.Build
+	}
+	best, most := s.base, -1.0
+	for w := range s.workers {
+		b := s.workers[w].Build
+		if s.news.Valid && b >= s.news.Build || s.sentBack[b] {
+			continue
+		}
+		sum := 0.0
+		for v := range s.workers {
+			if s.workers[v].Build == b && s.workers[v].State == Ready {
+				sum += s.size(v)
+			}
+		}
+		if sum > most || sum == most && b > best {
+			best, most = b, sum
+		}
+	}
+	return best
+}
+
+// ramp raises the trial's slots with what its workers can do by now, up to the cap, and never lowers them while the
+// cap stands: a key that was sent to the trial stays there.
+func (s *Sentry) ramp() {
+	trial, on := s.trial()
+	if !on {
+		s.reach = 0
+		return
+	}
+	trialCan, earlierCan := 0.0, 0.0
+	for w := range s.workers {
+		if s.workers[w].State != Ready {
+			continue
+		}
+		switch s.workers[w].Build {
+		case trial:
+			trialCan += s.size(w) * s.warmth(w)
+		case s.base:
+			earlierCan += s.size(w) * s.warmth(w)
+		}
+	}
+	fleet := earlierCan
+	if !s.orders.BesideEarlier || earlierCan == 0 {
+		fleet += trialCan
+	}
+	share := 0.0
+	if trialCan > 0 {
+		share = min(s.news.Cap, lean*trialCan/fleet)
+	}
+	s.reach = min(max(s.reach, percent(share)), percent(s.news.Cap))
+}
+
+func percent(share float64) int { return int(100*share + 1e-9) }
+
+// slotOf is the two-build hash of the design page.
+func slotOf(k Key, earlier, trial BuildID) int {
+	sum := md5.Sum([]byte(string(k) + "-" + strconv.Itoa(int(earlier)) + "-" + strconv.Itoa(int(trial))))
+	return int(binary.BigEndian.Uint64(sum[:8]) % 100)
+}
+
+func (s *Sentry) counter(t *transaction) int {
+	if s.orders.ExposureByProfile {
+		return int(t.Profile)
+	}
+	return 0
+}
+
+// mayExpose is the window counter: one more hand-off to the trial keeps within free + cap x taken.
+func (s *Sentry) mayExpose(t *transaction) bool {
+	c, from := s.counter(t), s.now-s.orders.ExposureWindow
+	s.exposed[c] = trim(s.exposed[c], from)
+	taken := since(s.arrivals, from)
+	if s.orders.ExposureByProfile {
+		taken = 0
+		for _, u := range s.open {
+			if u.Profile == t.Profile && u.arrived > from {
+				taken++
+			}
+		}
+	}
+	return float64(len(s.exposed[c])+1) <= s.orders.FreeExposure+s.news.Cap*float64(taken)
+}
+
+// ---- The judge ----
+
+// learnBuild books an ended hand-off with the builds: what the trial fails beyond the earlier build's rate adds up.
+func (s *Sentry) learnBuild(t *transaction, h *handOff) {
+	trial, onTrial := s.trial()
+	newest := s.news.Valid && h.build == s.news.Build && (onTrial || s.news.Phase == Released)
+	if h.end.Ending == Answered && t.Key != "" && newest {
+		s.met[t.Key] = h.build
+	}
+	p := &s.profiles[t.Profile]
+	failed, late := 0.0, 0.0
+	took := float64(h.end.Took)
+	switch h.end.Ending {
+	case Errored:
+		failed = 1
+	case Answered:
+	case TimedOut:
+		late = 1
+	default:
+		return
+	}
+	if newest && (onTrial || s.judged > 0) {
+		s.judged++
+		s.addError(p, failed)
+		if s.age(h.worker) >= settleTime && failed == 0 {
+			if took*s.warmth(h.worker) > p.bar {
+				late = 1
+			}
+			p.lateSum = max(0, p.lateSum+late-barShare-lateSlack)
+			s.lateSum = max(0, s.lateSum+late-barShare-lateSlack)
+		}
+		return
+	}
+	if h.build == trial && s.news.Valid || h.build > s.base {
+		return
+	}
+	p.errors += rateFade * (failed - p.errors)
+	if failed == 0 && s.warmth(h.worker) == 1 {
+		p.expected += rateFade * (took - p.expected)
+		over := -barShare
+		if took > p.bar {
+			over = 1 - barShare
+		}
+		p.bar += 4 * rateFade * over * p.expected
+	}
+}
+
+func (s *Sentry) addError(p *profileRow, failed float64) {
+	p.errorSum = max(0, p.errorSum+errorWeight*(failed-p.errors-errorSlack))
+	s.errorSum = max(0, s.errorSum+errorWeight*(failed-p.errors-errorSlack))
+}
+
+func (s *Sentry) age(w int) Micros { return s.now - max(s.workers[w].Started, s.revived[w]) }
+
+// sum is the worst of the sums.
+func (s *Sentry) sum() float64 {
+	worst := max(s.errorSum, s.lateSum)
+	for i := range s.profiles {
+		worst = max(worst, s.profiles[i].errorSum, s.profiles[i].lateSum)
+	}
+	return worst
+}
+
+// Complained takes a client's word that an answer was wrong: it counts as an error of that build.
+func (s *Sentry) Complained(now Micros, c Complaint) Result {
+	s.begin(now)
+	w, known := s.index[c.Worker]
+	if known && c.Profile >= 0 && int(c.Profile) < len(s.profiles) {
+		if p := &s.profiles[c.Profile]; s.news.Valid && s.workers[w].Build == s.news.Build {
+			s.addError(p, 1)
+		} else {
+			p.errors += rateFade * (1 - p.errors)
+		}
+	}
+	return s.finish()
+}
+
+// Tallied takes the platform's count.
+func (s *Sentry) Tallied(now Micros, t Tally) Result {
+	s.begin(now)
+	return s.finish()
+}
+
+// Probed takes the end of a probe.
+func (s *Sentry) Probed(now Micros, id WorkerID, e Ending, took Micros, held float64) Result {
+	s.begin(now)
+	return s.finish()
+}
+
+// PeerSaid takes a message from another sentry.
+func (s *Sentry) PeerSaid(now Micros, from SentryID, body []byte) Result {
+	s.begin(now)
+	return s.finish()
+}
+
+// vote forms this sentry's verdict and sends it when it has changed or is about to lapse.
+func (s *Sentry) vote() {
+	if s.now < s.voteNext || !s.news.Valid || s.news.Phase != OnTrial && s.news.Phase != Released {
+		return
+	}
+	s.ramp()
+	v := Vote{Build: s.news.Build, Stage: s.news.Stage, Verdict: s.verdict()}
+	renew := s.votedAt == 0 || s.now-s.votedAt >= s.orders.VoteLife*6/10
+	if v.Verdict != NoVerdict && (v != s.voted || renew) {
+		s.out.Votes = append(s.out.Votes, v)
+		s.voted, s.votedAt = v, s.now
+	}
+	s.voteNext = s.now + second/4
+}
+
+func (s *Sentry) verdict() Verdict {
+	sum := s.sum()
+	if sum > voteBackAt {
+		s.blamed = true
+	}
+	if s.blamed {
+		return GoBack
+	}
+	if s.news.Phase == Released {
+		return NoVerdict
+	}
+	if s.orders.Control == ControlTimer {
+		if sum > voteOnBelow {
+			return Hold
+		}
+		return NoVerdict
+	}
+	newest, any := s.toldAt, false
+	for w := range s.workers {
+		if s.workers[w].Build == s.news.Build && s.workers[w].State == Ready {
+			newest, any = max(newest, s.workers[w].Started), true
+		}
+	}
+	if settled := s.now - newest; any && sum < voteOnBelow {
+		if settled >= noAlarmTime || settled >= settleTime && s.judged >= leastSample {
+			return GoOn
+		}
+	}
+	return NoVerdict
+}
+
+// trim drops the times up to and including from; since counts those after it. Both want them in order.
+func trim(times []Micros, from Micros) []Micros {
+	return times[len(times)-since(times, from):]
+}
+
+func since(times []Micros, from Micros) int {
+	i, _ := slices.BinarySearchFunc(times, from+1, cmp.Compare[Micros])
+	return len(times) - i
+}
--- /dev/null
+++ b/logic/port.go
@@ -0,0 +1,286 @@
+package logic
+
+// Micros is a time or a span in whole microseconds on the caller's clock.
+type Micros int64
+
+type (
+	TransactionID string // as the client's side named it
+	WorkerID      string // opaque; stays the same over a restart
+	Key           string // subject of a transaction, empty if it has none
+	BuildID       int    // a later build has a higher number
+	ProfileID     int    // index into StandingOrders.Profiles
+	AccountID     int    // index into StandingOrders.Accounts, or NoAccount
+	ZoneID        int    // index into the deployment's zones
+	SentryID      int    // position of a sentry in its tier
+)
+
+const (
+	NoAccount   AccountID = -1
+	EverySentry SentryID  = -1
+)
+
+// Repeat says whether a transaction may run again.
+type Repeat int
+
+const (
+	Redoable Repeat = iota
+	Labelled
+	Irreversible
+)
+
+// Scope is the group of workers that drops the repeats of a labelled transaction.
+type Scope int
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Control is how the votes move a build.
+type Control int
+
+const (
+	ControlAny Control = iota
+	ControlShare
+	ControlTimer
+)
+
+// Profile is what the orders say of one kind of transaction.
+type Profile struct {
+	DueTime    Micros
+	OuterLimit Micros
+	Value      float64
+	LateShare  float64
+	Repeat     Repeat
+	Scope      Scope
+	Window     Micros // how long repeats of a labelled one are dropped
+	Streamed   bool
+}
+
+// Account is a customer's share and its quota, in transactions a second over all sentries.
+type Account struct {
+	Share float64
+	Quota float64
+}
+
+// StandingOrders is what a sentry is told once, at its start.
+type StandingOrders struct {
+	Sentries int
+	Position SentryID
+	Zone     ZoneID
+	Profiles []Profile
+	Accounts []Account
+
+	// The list of workers.
+	AskForList bool   // it comes only when asked for
+	AskWithin  Micros // a sentry that follows nothing is held to know what was listed this long ago
+
+	// What is allowed.
+	MayProbe, MayCancel, MayCopy, MayMessage, MayNameReturn bool
+	MostHandOffs                                            int
+	MostReturn                                              Micros
+	ConnectLimit                                            Micros
+	Tick                                                    Micros
+
+	// Figures of the rules.
+	AnswerGrace  Micros
+	DrainGrace   Micros
+	ColdFrom     float64
+	WarmUp       Micros
+	FallMultiple float64
+	FallSpan     Micros
+
+	// Builds on trial.
+	Control           Control
+	BesideEarlier     bool // the earlier workers stay until the release
+	StageShares       []float64
+	StageCaps         []float64
+	FreeExposure      float64
+	ExposureWindow    Micros
+	ExposureByProfile bool
+	GuardedStages     int
+	ForwardOnly       bool
+	OnVotes           int
+	HoldVotes         int
+	BackVotes         int
+	VoteLife          Micros
+	VoteWait          Micros
+	VotesPerSecond    float64
+	Bake              Micros
+	ComplaintShare    float64
+
+	// Prices, as shares of the whole value.
+	BehindPrice, HarmPrice, CrossPrice, WastePrice float64
+	OverShareValue                                 float64
+}
+
+// WorkerState is what the list says of a worker.
+type WorkerState int
+
+const (
+	Ready WorkerState = iota
+	Draining
+	Gone
+)
+
+// Worker is one line of the list.
+type Worker struct {
+	ID      WorkerID
+	Build   BuildID
+	Zone    ZoneID
+	Cell    int
+	Size    float64 // for comparison with other workers only
+	Started Micros  // 0: long ago
+	State   WorkerState
+}
+
+// ListKind says how a list of workers is to be read.
+type ListKind int
+
+const (
+	ListWhole ListKind = iota
+	ListChanges
+	ListRemembered // whole, as held before the sentry's start, maybe old
+)
+
+// Transaction is what a client asks for.
+type Transaction struct {
+	ID      TransactionID
+	Profile ProfileID
+	Account AccountID
+	Key     Key
+	Limit   Micros // the client gives this try up then
+	Hint    Micros // expected work, 0 if not known
+	Again   bool   // the client marked it as a repeat
+}
+
+// Ending is how a hand-off ended.
+type Ending int
+
+const (
+	Answered    Ending = iota
+	Errored            // the worker answered with an error; may have run
+	TurnedAway         // proven not to have run
+	TimedOut           // may have run, may still run
+	Unconnected        // proven not to have run
+	Broken             // the connection broke; may have run
+	Cancelled          // may have run
+	Unsent             // proven not to have run
+)
+
+// HandOffEnd tells the end of one hand-off. Held is the load that the worker reported, below 0 if it did not.
+type HandOffEnd struct {
+	Transaction TransactionID
+	HandOff     int
+	Worker      WorkerID
+	Ending      Ending
+	Took        Micros
+	Closed      bool // the transaction has its final answer
+	Held        float64
+}
+
+// Phase is where the newest build stands.
+type Phase int
+
+const (
+	OnTrial Phase = iota
+	GoingBack
+	Released
+	Withdrawn
+)
+
+// VoteFate is what became of a vote.
+type VoteFate int
+
+const (
+	NoVoteAsked VoteFate = iota // news that answers no vote
+	VoteStands
+	VoteMoot
+	VoteRefused
+	VoteUnanswered
+)
+
+// News is where the newest build stands, as the platform told it. Unless Valid, only Fate counts.
+type News struct {
+	Valid bool
+	Build BuildID
+	Stage int
+	Phase Phase
+	Cap   float64
+	Age   Micros
+	Fate  VoteFate
+}
+
+// Tally is the platform's count for one build and profile over a past period.
+type Tally struct {
+	Build    BuildID
+	Profile  ProfileID
+	HandOffs int
+	Failed   int
+	MeanTook Micros
+	Age      Micros
+}
+
+// Complaint says that a client found an answer wrong.
+type Complaint struct {
+	Profile ProfileID
+	Worker  WorkerID
+	Age     Micros // since that hand-off was sent
+}
+
+// RulingKind is what is to be done about a transaction.
+type RulingKind int
+
+const (
+	HandOff RulingKind = iota
+	CancelHandOff
+	Defer
+	WriteOff
+)
+
+// Ruling is one act on one transaction. Rulings are carried out in order.
+type Ruling struct {
+	Kind        RulingKind
+	Transaction TransactionID
+	Worker      WorkerID // HandOff
+	Until       Micros   // HandOff: given up then
+	Number      int      // CancelHandOff: which one, from 0
+	ComeBack    Micros   // Defer: how long the client should stay away, 0 if not said
+}
+
+// Verdict is what a vote stands for.
+type Verdict int
+
+const (
+	NoVerdict Verdict = iota
+	GoOn
+	Hold
+	GoBack
+)
+
+// Vote is a sentry's vote on a build at a stage.
+type Vote struct {
+	Build   BuildID
+	Stage   int
+	Verdict Verdict
+}
+
+// Message goes to one sentry of the tier or, with EverySentry, to all others.
+type Message struct {
+	To   SentryID
+	Body []byte
+}
+
+// Result is what a call wants done. WakeAt asks for a Wake call then; 0 asks for none; a later call may name an
+// earlier time and a Wake that comes unasked does no harm.
+type Result struct {
+	Rulings  []Ruling
+	Votes    []Vote
+	Follow   bool // subscribe to changes of the list
+	ReadList bool // ask for the whole list once
+	Probes   []WorkerID
+	Messages []Message
+	Notes    []string
+	WakeAt   Micros
+}
