--- a/logic/logic.go
+++ b/logic/logic.go
@@ -13,6 +13,7 @@
 	"container/heap"
 	"crypto/md5"
 	"encoding/binary"
+	"fmt"
 	"math/rand"
 	"slices"
 	"strconv"
@@ -768,8 +769,8 @@
 
 // mayExpose is the window counter: one more hand-off to the trial keeps within free + cap x taken.
 func (s *Sentry) mayExpose(t *transaction) bool {
-	c, from := s.counter(t), s.now-s.orders.ExposureWindow
-	s.exposed[c] = trim(s.exposed[c], from)
+	c, from := s.counter(t), s.now-s.orders.ExposureWindow+s.orders.Tick
+	s.exposed[c] = trim(s.exposed[c], from-3*s.orders.Tick)
 	taken := since(s.arrivals, from)
 	if s.orders.ExposureByProfile {
 		taken = 0
@@ -892,10 +893,21 @@
 	s.voteNext = s.now + second/4
 }
 
+// note says in the log what the judge's sums were.
+func (s *Sentry) note(what string) {
+	line := fmt.Sprintf("%s build %d stage %d: of %d errors %.1f late %.1f, by profile", what, s.news.Build,
+		s.news.Stage, s.judged, s.errorSum, s.lateSum)
+	for i := range s.profiles {
+		line += fmt.Sprintf(" %.1f/%.1f", s.profiles[i].errorSum, s.profiles[i].lateSum)
+	}
+	s.out.Notes = append(s.out.Notes, line)
+}
+
 func (s *Sentry) verdict() Verdict {
 	sum := s.sum()
-	if sum > voteBackAt {
+	if sum > voteBackAt && !s.blamed {
 		s.blamed = true
+		s.note("voting back")
 	}
 	if s.blamed {
 		return GoBack
