--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,6 +40,8 @@
 	paceFade    = 0.12
 	faultFade   = 0.25
 	shunAbove   = 0.5
+	choices     = 2
+	slowPace    = 1.5 // a pace up to it is taken for chance
 )
 
 type handOff struct {
@@ -114,6 +116,7 @@
 	revived []Micros  // answered then, after it had been down
 	down    []bool
 	recent  [][]Micros // hand-offs while cold
+	fit     []int      // scratch of pick
 
 	// The list.
 	following bool
@@ -371,28 +374,28 @@
 }
 
 func (s *Sentry) pick(t *transaction) step {
-	best, bestScore := -1, 0.0
-	offset := s.chance.Intn(len(s.workers))
-	for n := range s.workers {
-		w := (n + offset) % len(s.workers)
-		if !s.ready(w, t.lane, t) {
-			continue
-		}
-		score := s.score(w)
-		if best < 0 || score < bestScore {
-			best, bestScore = w, score
+	fit := s.fit[:0]
+	for w := range s.workers {
+		if s.ready(w, t.lane, t) {
+			fit = append(fit, w)
 		}
 	}
-	if best < 0 {
+	s.fit = fit
+	if len(fit) == 0 {
 		return s.holdBack(t)
 	}
-	t.worker = best
+	t.worker = fit[s.chance.Intn(len(fit))]
+	for range choices - 1 {
+		if w := fit[s.chance.Intn(len(fit))]; s.score(w) < s.score(t.worker) {
+			t.worker = w
+		}
+	}
 	return pass
 }
 
 // score is the load of a worker for its size: the lowest wins.
 func (s *Sentry) score(w int) float64 {
-	load := (float64(s.inHand[w]) + s.others[w] + 1) * s.pace[w] / (s.size(w) * s.warmth(w))
+	load := (float64(s.inHand[w]) + s.others[w] + 1) * max(1, s.pace[w]/slowPace) / (s.size(w) * s.warmth(w))
 	if s.workers[w].Zone != s.orders.Zone {
 		load *= 1 + 8*s.orders.CrossPrice
 	}
