--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,8 @@
 	errorSlack  = 0.01 // excess of errors that is let pass
 	errorWeight = 1.5  // three errors close together reach voteBackAt
 	barShare    = 0.2  // share of the earlier build's answers that take longer than the bar
-	lateSlack   = 0.12 // excess over the bar that is let pass
+	slowTimes   = 1.6  // a hand-off this many bars long counts as late
+	lateSlack   = 0.1  // excess of late ones that is let pass
 	rateFade    = 0.02
 	paceFade    = 0.12
 	faultFade   = 0.25
@@ -70,6 +71,7 @@
 	Profile
 	expected float64 // usual time of an answer of the earlier build
 	bar      float64 // barShare of these take longer
+	slow     float64 // the earlier build's rate of hand-offs that take slowTimes the bar
 	errors   float64 // the earlier build's rate of errors
 	errorSum float64 // sums of the trial's excess
 	lateSum  float64
@@ -150,7 +152,7 @@
 	}
 	for _, p := range o.Profiles {
 		s.profiles = append(s.profiles, profileRow{
-			Profile: p, expected: float64(p.DueTime) / 6, bar: float64(p.DueTime) / 4, errors: firstRate})
+			Profile: p, expected: float64(p.DueTime) / 6, bar: float64(p.DueTime) / 4, errors: firstRate, slow: firstRate})
 	}
 	return s
 }
@@ -811,11 +813,11 @@
 		s.judged++
 		s.addError(p, failed)
 		if s.age(h.worker) >= settleTime && failed == 0 {
-			if took*s.warmth(h.worker) > p.bar {
+			if took*s.warmth(h.worker) > slowTimes*p.bar {
 				late = 1
 			}
-			p.lateSum = max(0, p.lateSum+late-barShare-lateSlack)
-			s.lateSum = max(0, s.lateSum+late-barShare-lateSlack)
+			p.lateSum = max(0, p.lateSum+late-p.slow-lateSlack)
+			s.lateSum = max(0, s.lateSum+late-p.slow-lateSlack)
 		}
 		return
 	}
@@ -825,6 +827,10 @@
 	p.errors += rateFade * (failed - p.errors)
 	if failed == 0 && s.warmth(h.worker) == 1 {
 		p.expected += rateFade * (took - p.expected)
+		if took > slowTimes*p.bar {
+			late = 1
+		}
+		p.slow += rateFade * (late - p.slow)
 		over := -barShare
 		if took > p.bar {
 			over = 1 - barShare
