--- a/logic/logic.go
+++ b/logic/logic.go
@@ -77,6 +77,9 @@
 	lateSum  float64
 }
 
+// worth is the value for the work.
+func (p *profileRow) worth() float64 { return p.Value / p.expected }
+
 type alarm struct {
 	at Micros
 	t  *transaction
@@ -106,6 +109,8 @@
 	profiles []profileRow
 	arrivals []Micros
 	spare    float64 // further hand-offs that the budget still bears
+	busy     int     // own open hand-offs
+	room     float64 // and how many there may be
 
 	// Workers, under a dense index.
 	index   map[WorkerID]int
@@ -238,6 +243,7 @@
 		for i := len(chain) - 1; i >= 0; i-- {
 			chain[i].back(s, t, h)
 		}
+		s.release()
 	}
 	return s.finish()
 }
@@ -269,7 +275,7 @@
 		switch {
 		case t.closed:
 		case t.held:
-			s.run(t, 1)
+			s.release()
 		default:
 			s.copyOut(t)
 		}
@@ -283,14 +289,37 @@
 	s.arrivals = trim(s.arrivals, s.now-max(s.orders.ExposureWindow, s.orders.FallSpan))
 	s.spare = min(s.spare+spareShare, spareMost)
 	s.open[t.ID] = t
+	if float64(s.busy) >= s.room {
+		return s.holdBack(t)
+	}
 	return pass
 }
 
 const (
 	spareShare = 0.1 // further hand-offs and copies, to transactions taken
 	spareMost  = 10
+
+	roomStart = 2.0 // open hand-offs to ready workers at the start, and the most
+	roomMost  = 8.0
+	roomLeast = 0.25
+	roomUp    = 0.1 // for each answer in time while the room is used, and for each failure
+	roomDown  = 0.4
 )
 
+// learnRoom bounds the open hand-offs by how answers come, so that a fleet that is short of capacity serves what it
+// can in time instead of everything late. It guards against overload of any cause, bursts and storms of repeats
+// included; it can do harm where failures are quick and not due to load, hence its floor.
+func (s *Sentry) learnRoom(p *profileRow, e HandOffEnd) {
+	ready := float64(max(1, s.readyCount(s.base)))
+	switch {
+	case e.Ending == TurnedAway || e.Ending == TimedOut || e.Ending == Answered && e.Took > p.DueTime:
+		s.room -= roomDown
+	case e.Ending == Answered && float64(s.busy) >= 0.7*s.room:
+		s.room += roomUp
+	}
+	s.room = min(max(s.room, roomLeast*ready, 2), roomMost*ready)
+}
+
 // assign chooses the build: the two-build hash, under the counter, with keys going forward only.
 func (s *Sentry) assign(t *transaction) step {
 	trial, onTrial := s.trial()
@@ -319,7 +348,7 @@
 
 // holdBack keeps a transaction while no worker of its build is ready, for as long as an answer in time is likely.
 func (s *Sentry) holdBack(t *transaction) step {
-	until := min(t.arrived+s.profiles[t.Profile].DueTime/2, t.Limit-s.orders.Tick)
+	until := s.patience(t)
 	if s.now >= until {
 		return s.giveUp(t)
 	}
@@ -331,16 +360,30 @@
 	return keep
 }
 
+// patience is how long a transaction is held: until an answer in time is no longer likely.
+func (s *Sentry) patience(t *transaction) Micros {
+	return min(t.arrived+s.profiles[t.Profile].DueTime/2, t.Limit-s.orders.Tick)
+}
+
 // release runs what was held again, when the workers or the news have changed.
 func (s *Sentry) release() {
 	held := s.held
 	s.held = nil
+	slices.SortStableFunc(held, func(a, b *transaction) int {
+		return cmp.Compare(s.profiles[b.Profile].worth(), s.profiles[a.Profile].worth())
+	})
 	for _, t := range held {
 		if t.closed || !t.held {
 			continue
 		}
-		t.held = false
-		s.run(t, 1)
+		if float64(s.busy) < s.room {
+			t.held = false
+			s.run(t, 1)
+		} else if s.now >= s.patience(t) {
+			s.giveUp(t)
+		} else {
+			s.held = append(s.held, t)
+		}
 	}
 }
 
@@ -461,6 +504,7 @@
 	t.held = false
 	t.sends = append(t.sends, handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true})
 	s.inHand[w]++
+	s.busy++
 	if s.warmth(w) < 1 {
 		s.recent[w] = append(s.recent[w], s.now)
 	}
@@ -506,6 +550,8 @@
 	h.over = true
 	h.mayRun = h.end.Ending != TurnedAway && h.end.Ending != Unconnected && h.end.Ending != Unsent
 	s.inHand[h.worker] = max(0, s.inHand[h.worker]-1)
+	s.busy--
+	s.learnRoom(&s.profiles[t.Profile], h.end)
 }
 
 // settle closes the transaction or sends it again.
@@ -698,6 +744,9 @@
 // lookAround finds the earlier build and how far the trial reaches, after news or a list.
 func (s *Sentry) lookAround() {
 	s.base = s.findBase()
+	if s.room == 0 {
+		s.room = roomStart * float64(s.readyCount(s.base))
+	}
 	s.ramp()
 	s.release()
 }
