--- a/logic/logic.go
+++ b/logic/logic.go
@@ -301,7 +301,7 @@
 
 	roomStart = 2.0 // open hand-offs to ready workers at the start, and the most
 	roomMost  = 8.0
-	roomLeast = 0.25
+	roomLeast = 2.0 // the least, to this sentry's share of them
 	roomUp    = 0.1 // for each answer in time while the room is used, and for each failure
 	roomDown  = 0.4
 )
@@ -312,12 +312,13 @@
 func (s *Sentry) learnRoom(p *profileRow, e HandOffEnd) {
 	ready := float64(max(1, s.readyCount(s.base)))
 	switch {
+	case s.shunned[s.index[e.Worker]] > s.now:
 	case e.Ending == TurnedAway || e.Ending == TimedOut || e.Ending == Answered && e.Took > p.DueTime:
 		s.room -= roomDown
 	case e.Ending == Answered && float64(s.busy) >= 0.7*s.room:
 		s.room += roomUp
 	}
-	s.room = min(max(s.room, roomLeast*ready, 2), roomMost*ready)
+	s.room = min(max(s.room, roomLeast*ready/float64(max(1, s.orders.Sentries)), 2), roomMost*ready)
 }
 
 // assign chooses the build: the two-build hash, under the counter, with keys going forward only.
@@ -756,7 +757,7 @@
 	if s.news.Valid && s.news.Phase == Released {
 		return s.news.Build
 	}
-	best, most := s.base, -1.0
+	best, most := BuildID(-1), 0.0
 	for w := range s.workers {
 		b := s.workers[w].Build
 		if s.news.Valid && b >= s.news.Build || s.sentBack[b] {
@@ -768,7 +769,7 @@
 				sum += s.size(v)
 			}
 		}
-		if sum > most || sum == most && b > best {
+		if sum > most || sum == most && sum > 0 && b > best {
 			best, most = b, sum
 		}
 	}
