--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,7 @@
 	errorSlack  = 0.01 // excess of errors that is let pass
 	errorWeight = 1.5  // three errors close together reach voteBackAt
 	barShare    = 0.2  // share of the earlier build's answers that take longer than the bar
-	slowTimes   = 1.6  // a hand-off this many bars long counts as late
+	slowTimes   = 2.5  // a hand-off this many bars long counts as late
 	lateSlack   = 0.1  // excess of late ones that is let pass
 	rateFade    = 0.02
 	paceFade    = 0.12
@@ -862,10 +862,8 @@
 	if newest && (onTrial || s.judged > 0) {
 		s.judged++
 		s.addError(p, failed)
-		if s.age(h.worker) >= settleTime && failed == 0 {
-			if took*s.warmth(h.worker) > slowTimes*p.bar {
-				late = 1
-			}
+		if s.age(h.worker) >= max(settleTime, s.orders.WarmUp) && failed == 0 {
+			late = p.late(took, late)
 			p.lateSum = max(0, p.lateSum+late-p.slow-lateSlack)
 			s.lateSum = max(0, s.lateSum+late-p.slow-lateSlack)
 		}
@@ -877,10 +875,7 @@
 	p.errors += rateFade * (failed - p.errors)
 	if failed == 0 && s.warmth(h.worker) == 1 {
 		p.expected += rateFade * (took - p.expected)
-		if took > slowTimes*p.bar {
-			late = 1
-		}
-		p.slow += rateFade * (late - p.slow)
+		p.slow += rateFade * (p.late(took, late) - p.slow)
 		over := -barShare
 		if took > p.bar {
 			over = 1 - barShare
@@ -889,6 +884,14 @@
 	}
 }
 
+// late is 1 for a hand-off that took past its due time or well past what the earlier build's take.
+func (p *profileRow) late(took, late float64) float64 {
+	if took > min(slowTimes*p.bar, float64(p.DueTime)) {
+		return 1
+	}
+	return late
+}
+
 func (s *Sentry) addError(p *profileRow, failed float64) {
 	p.errorSum = max(0, p.errorSum+errorWeight*(failed-p.errors-errorSlack))
 	s.errorSum = max(0, s.errorSum+errorWeight*(failed-p.errors-errorSlack))
