--- a/logic/logic.go
+++ b/logic/logic.go
@@ -10,7 +10,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"crypto/md5"
 	"encoding/binary"
 	"fmt"
@@ -28,7 +27,8 @@
 	leastSample = 20         // outcomes before a vote on
 	settleTime  = 3 * second // a worker this young is not judged on time
 	noAlarmTime = 5 * second
-	firstRate   = 0.05 // assumed before anything was seen
+	besideTime  = second // lateness needs an outcome of the earlier build as recent as this
+	firstRate   = 0.05   // assumed before anything was seen
 
 	// Open on the design page.
 	lean        = 1.3  // share sent to the trial build, to its share of what the fleet can do
@@ -85,18 +85,6 @@
 	t  *transaction
 }
 
-type alarms []alarm
-
-func (a alarms) Len() int           { return len(a) }
-func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
-func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *alarms) Push(x any)        { *a = append(*a, x.(alarm)) }
-func (a *alarms) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // Sentry is one instance. Its calls must not overlap.
 type Sentry struct {
 	orders   StandingOrders
@@ -104,7 +92,7 @@
 	now      Micros
 	out      Result
 	open     map[TransactionID]*transaction
-	alarms   alarms
+	alarms   []alarm // the earliest first
 	held     []*transaction
 	profiles []profileRow
 	arrivals []Micros
@@ -123,6 +111,7 @@
 	revived []Micros  // answered then, after it had been down
 	down    []bool
 	recent  [][]Micros // hand-offs while cold
+	misses  []float64  // what the judge counted against it in this trial
 	fit     []int      // scratch of pick
 
 	// The list.
@@ -139,6 +128,7 @@
 	met      map[Key]BuildID
 	exposed  [][]Micros // hand-offs to the trial, by profile or all in the first
 	judged   int
+	baseSeen Micros // last outcome of the earlier build
 	errorSum float64
 	lateSum  float64
 	blamed   bool
@@ -162,18 +152,15 @@
 	return s
 }
 
-// begin and finish frame every call.
-func (s *Sentry) begin(now Micros) {
-	s.now = max(s.now, now)
-	s.out = Result{}
-}
-
-func (s *Sentry) finish() Result {
+// call frames every call.
+func (s *Sentry) call(now Micros, do func()) Result {
+	s.now, s.out = max(s.now, now), Result{}
+	do()
 	s.keepList()
 	s.vote()
 	wake := Micros(0)
 	for len(s.alarms) > 0 && s.alarms[0].t.closed {
-		heap.Pop(&s.alarms)
+		s.alarms = s.alarms[1:]
 	}
 	if len(s.alarms) > 0 {
 		wake = s.alarms[0].at
@@ -187,7 +174,11 @@
 	return s.out
 }
 
-func (s *Sentry) alarm(at Micros, t *transaction) { heap.Push(&s.alarms, alarm{max(at, s.now+1), t}) }
+func (s *Sentry) alarm(at Micros, t *transaction) {
+	at = max(at, s.now+1)
+	i, _ := slices.BinarySearchFunc(s.alarms, at+1, func(a alarm, at Micros) int { return cmp.Compare(a.at, at) })
+	s.alarms = slices.Insert(s.alarms, i, alarm{at, t})
+}
 
 // ---- The chain ----
 
@@ -226,61 +217,62 @@
 
 // Arrive takes a transaction.
 func (s *Sentry) Arrive(now Micros, in Transaction) Result {
-	s.begin(now)
-	t := &transaction{Transaction: in, arrived: s.now}
-	s.run(t, 0)
-	return s.finish()
+	return s.call(now, func() {
+		t := &transaction{Transaction: in, arrived: s.now}
+		s.run(t, 0)
+	})
 }
 
 // HandOffEnded takes the end of one hand-off back through the chain.
 func (s *Sentry) HandOffEnded(now Micros, e HandOffEnd) Result {
-	s.begin(now)
-	t := s.open[e.Transaction]
-	if t != nil && e.HandOff >= 0 && e.HandOff < len(t.sends) && !t.sends[e.HandOff].over {
-		h := &t.sends[e.HandOff]
-		h.end = e
-		t.closed = t.closed || e.Closed
-		for i := len(chain) - 1; i >= 0; i-- {
-			chain[i].back(s, t, h)
+	return s.call(now, func() {
+		t := s.open[e.Transaction]
+		if t != nil && e.HandOff >= 0 && e.HandOff < len(t.sends) && !t.sends[e.HandOff].over {
+			h := &t.sends[e.HandOff]
+			h.end = e
+			t.closed = t.closed || e.Closed
+			for i := len(chain) - 1; i >= 0; i-- {
+				chain[i].back(s, t, h)
+			}
+			s.release()
 		}
-		s.release()
-	}
-	return s.finish()
+	})
 }
 
 // AnswerBegan notes that a stream has started: the transaction belongs to that worker from here.
 func (s *Sentry) AnswerBegan(now Micros, id TransactionID, number int) Result {
-	s.begin(now)
-	if t := s.open[id]; t != nil {
-		t.closed = true
-	}
-	return s.finish()
+	return s.call(now, func() {
+		if t := s.open[id]; t != nil {
+			t.closed = true
+		}
+	})
 }
 
 // ClientLeft ends what is owed for a transaction.
 func (s *Sentry) ClientLeft(now Micros, id TransactionID) Result {
-	s.begin(now)
-	if t := s.open[id]; t != nil {
-		t.closed = true
-		s.forget(t)
-	}
-	return s.finish()
+	return s.call(now, func() {
+		if t := s.open[id]; t != nil {
+			t.closed = true
+			s.forget(t)
+		}
+	})
 }
 
 // Wake does what has come due.
 func (s *Sentry) Wake(now Micros) Result {
-	s.begin(now)
-	for len(s.alarms) > 0 && s.alarms[0].at <= s.now {
-		t := heap.Pop(&s.alarms).(alarm).t
-		switch {
-		case t.closed:
-		case t.held:
-			s.release()
-		default:
-			s.copyOut(t)
+	return s.call(now, func() {
+		for len(s.alarms) > 0 && s.alarms[0].at <= s.now {
+			t := s.alarms[0].t
+			s.alarms = s.alarms[1:]
+			switch {
+			case t.closed:
+			case t.held:
+				s.release()
+			default:
+				s.copyOut(t)
+			}
 		}
-	}
-	return s.finish()
+	})
 }
 
 func (s *Sentry) admit(t *transaction) step {
@@ -651,44 +643,46 @@
 
 // Listed takes a report on the workers.
 func (s *Sentry) Listed(now Micros, kind ListKind, list []Worker) Result {
-	s.begin(now)
-	if kind != ListRemembered {
-		s.following = true
-		s.askWait = 0
-		s.askAt = s.now + s.orders.AskWithin/2
-	}
-	if kind != ListChanges {
-		for w := range s.workers {
-			s.workers[w].State = Gone
-		}
-	}
-	for _, in := range list {
-		w, known := s.index[in.ID]
-		if !known {
-			w = len(s.workers)
-			s.index[in.ID] = w
-			s.workers = append(s.workers, in)
-			s.inHand, s.others = append(s.inHand, 0), append(s.others, 0)
-			s.pace, s.faults = append(s.pace, 1), append(s.faults, 0)
-			s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
-			s.down, s.recent = append(s.down, false), append(s.recent, nil)
+	return s.call(now, func() {
+		if kind != ListRemembered {
+			s.following = true
+			s.askWait = 0
+			s.askAt = s.now + s.orders.AskWithin/2
+		}
+		if kind != ListChanges {
+			for w := range s.workers {
+				s.workers[w].State = Gone
+			}
 		}
-		if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
-			s.others[w], s.pace[w], s.faults[w], s.shunned[w], s.revived[w], s.down[w] = 0, 1, 0, 0, 0, false
+		for _, in := range list {
+			w, known := s.index[in.ID]
+			if !known {
+				w = len(s.workers)
+				s.index[in.ID] = w
+				s.workers = append(s.workers, in)
+				s.inHand, s.others = append(s.inHand, 0), append(s.others, 0)
+				s.pace, s.faults = append(s.pace, 1), append(s.faults, 0)
+				s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
+				s.down, s.recent = append(s.down, false), append(s.recent, nil)
+				s.misses = append(s.misses, 0)
+			}
+			if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
+				s.others[w], s.pace[w], s.faults[w], s.shunned[w], s.revived[w], s.down[w] = 0, 1, 0, 0, 0, false
+				s.misses[w] = 0
+			}
+			s.workers[w] = in
 		}
-		s.workers[w] = in
-	}
-	s.lookAround()
-	return s.finish()
+		s.lookAround()
+	})
 }
 
 // AskFailed notes that the list could not be had.
 func (s *Sentry) AskFailed(now Micros) Result {
-	s.begin(now)
-	s.following = false
-	s.askWait = min(max(second/2, s.askWait*2), s.orders.AskWithin/4)
-	s.askAt = s.now + s.askWait/2 + Micros(s.chance.Int63n(int64(s.askWait)+1))
-	return s.finish()
+	return s.call(now, func() {
+		s.following = false
+		s.askWait = min(max(second/2, s.askWait*2), s.orders.AskWithin/4)
+		s.askAt = s.now + s.askWait/2 + Micros(s.chance.Int63n(int64(s.askWait)+1))
+	})
 }
 
 // keepList keeps a subscription alive where the list comes only when asked for.
@@ -708,27 +702,27 @@
 
 // Told takes the platform's news and the answer to a vote.
 func (s *Sentry) Told(now Micros, n News) Result {
-	s.begin(now)
-	switch n.Fate {
-	case VoteRefused, VoteUnanswered:
-		s.votedAt = 0
-		s.voteNext = s.now + second/4 + Micros(s.chance.Int63n(int64(second)/2))
-	}
-	if n.Valid {
-		if n.Build != s.news.Build || !s.news.Valid {
-			s.newTrial()
-		}
-		if n.Build != s.news.Build || n.Stage != s.news.Stage || n.Phase != s.news.Phase {
-			s.toldAt = s.now - n.Age
-		}
-		if n.Phase == GoingBack || n.Phase == Withdrawn {
-			s.sentBack[n.Build] = true
-			clear(s.met)
+	return s.call(now, func() {
+		switch n.Fate {
+		case VoteRefused, VoteUnanswered:
+			s.votedAt = 0
+			s.voteNext = s.now + second/4 + Micros(s.chance.Int63n(int64(second)/2))
+		}
+		if n.Valid {
+			if n.Build != s.news.Build || !s.news.Valid {
+				s.newTrial()
+			}
+			if n.Build != s.news.Build || n.Stage != s.news.Stage || n.Phase != s.news.Phase {
+				s.toldAt = s.now - n.Age
+			}
+			if n.Phase == GoingBack || n.Phase == Withdrawn {
+				s.sentBack[n.Build] = true
+				clear(s.met)
+			}
+			s.news = n
+			s.lookAround()
 		}
-		s.news = n
-		s.lookAround()
-	}
-	return s.finish()
+	})
 }
 
 func (s *Sentry) newTrial() {
@@ -740,6 +734,7 @@
 	for i := range s.exposed {
 		s.exposed[i] = nil
 	}
+	clear(s.misses)
 }
 
 // lookAround finds the earlier build and how far the trial reaches, after news or a list.
@@ -861,11 +856,14 @@
 	}
 	if newest && (onTrial || s.judged > 0) {
 		s.judged++
-		s.addError(p, failed)
-		if s.age(h.worker) >= max(settleTime, s.orders.WarmUp) && failed == 0 {
-			late = p.late(took, late)
-			p.lateSum = max(0, p.lateSum+late-p.slow-lateSlack)
-			s.lateSum = max(0, s.lateSum+late-p.slow-lateSlack)
+		weight := s.weigh(h.worker, failed+late)
+		s.addError(p, failed*weight)
+		if s.age(h.worker) >= max(settleTime, s.orders.WarmUp) && failed == 0 && s.now-s.baseSeen < besideTime {
+			if was := late; p.late(took, late) > was {
+				late, weight = 1, s.weigh(h.worker, 1)
+			}
+			p.lateSum = max(0, p.lateSum+late*weight-p.slow-lateSlack)
+			s.lateSum = max(0, s.lateSum+late*weight-p.slow-lateSlack)
 		}
 		return
 	}
@@ -873,6 +871,7 @@
 		return
 	}
 	p.errors += rateFade * (failed - p.errors)
+	s.baseSeen = s.now
 	if failed == 0 && s.warmth(h.worker) == 1 {
 		p.expected += rateFade * (took - p.expected)
 		p.slow += rateFade * (p.late(took, late) - p.slow)
@@ -884,6 +883,25 @@
 	}
 }
 
+// weigh counts a miss of a worker of the trial for less the more this worker has missed beyond its even part of all.
+// It guards against a machine's own trouble (failing fast, slow, shared with another program) being held against the
+// build; it costs time where a bad build has very few workers of which one gets most of the traffic.
+func (s *Sentry) weigh(w int, miss float64) float64 {
+	if miss == 0 {
+		return 1
+	}
+	n, total := 0.0, 0.0
+	for v := range s.workers {
+		if s.workers[v].Build == s.workers[w].Build && s.workers[v].State == Ready {
+			n++
+			total += s.misses[v]
+		}
+	}
+	even := min(1, (total+n)/(max(1, n)*(s.misses[w]+1)))
+	s.misses[w]++
+	return even * even
+}
+
 // late is 1 for a hand-off that took past its due time or well past what the earlier build's take.
 func (p *profileRow) late(took, late float64) float64 {
 	if took > min(slowTimes*p.bar, float64(p.DueTime)) {
@@ -910,34 +928,29 @@
 
 // Complained takes a client's word that an answer was wrong: it counts as an error of that build.
 func (s *Sentry) Complained(now Micros, c Complaint) Result {
-	s.begin(now)
-	w, known := s.index[c.Worker]
-	if known && c.Profile >= 0 && int(c.Profile) < len(s.profiles) {
-		if p := &s.profiles[c.Profile]; s.news.Valid && s.workers[w].Build == s.news.Build {
-			s.addError(p, 1)
-		} else {
-			p.errors += rateFade * (1 - p.errors)
+	return s.call(now, func() {
+		w, known := s.index[c.Worker]
+		if known && c.Profile >= 0 && int(c.Profile) < len(s.profiles) {
+			if p := &s.profiles[c.Profile]; s.news.Valid && s.workers[w].Build == s.news.Build {
+				s.addError(p, 1)
+			} else {
+				p.errors += rateFade * (1 - p.errors)
+			}
 		}
-	}
-	return s.finish()
+	})
 }
 
 // Tallied takes the platform's count.
-func (s *Sentry) Tallied(now Micros, t Tally) Result {
-	s.begin(now)
-	return s.finish()
-}
+func (s *Sentry) Tallied(now Micros, t Tally) Result { return s.call(now, func() {}) }
 
 // Probed takes the end of a probe.
 func (s *Sentry) Probed(now Micros, id WorkerID, e Ending, took Micros, held float64) Result {
-	s.begin(now)
-	return s.finish()
+	return s.call(now, func() {})
 }
 
 // PeerSaid takes a message from another sentry.
 func (s *Sentry) PeerSaid(now Micros, from SentryID, body []byte) Result {
-	s.begin(now)
-	return s.finish()
+	return s.call(now, func() {})
 }
 
 // vote forms this sentry's verdict and sends it when it has changed or is about to lapse.
