--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,11 +32,12 @@
 
 	// Open on the design page.
 	lean        = 1.3  // share sent to the trial build, to its share of what the fleet can do
+	strained    = 0.2  // the earlier build's rate of late ones from which lateness tells of load alone
 	errorSlack  = 0.01 // excess of errors that is let pass
 	errorWeight = 1.5  // three errors close together reach voteBackAt
 	barShare    = 0.2  // share of the earlier build's answers that take longer than the bar
 	slowTimes   = 2.5  // a hand-off this many bars long counts as late
-	lateSlack   = 0.1  // excess of late ones that is let pass
+	lateSlack   = 0.1  // excess of late ones over twice that rate that is let pass
 	rateFade    = 0.02
 	paceFade    = 0.12
 	faultFade   = 0.25
@@ -797,7 +798,11 @@
 	}
 	share := 0.0
 	if trialCan > 0 {
-		share = min(s.news.Cap, lean*trialCan/fleet)
+		strain := 0.0
+		for i := range s.profiles {
+			strain = max(strain, min(1, s.profiles[i].slow/strained))
+		}
+		share = min(s.news.Cap, (lean-(lean-1)*strain)*trialCan/fleet)
 	}
 	s.reach = min(max(s.reach, percent(share)), percent(s.news.Cap))
 }
@@ -862,8 +867,11 @@
 			if was := late; p.late(took, late) > was {
 				late, weight = 1, s.weigh(h.worker, 1)
 			}
-			p.lateSum = max(0, p.lateSum+late*weight-p.slow-lateSlack)
-			s.lateSum = max(0, s.lateSum+late*weight-p.slow-lateSlack)
+			if p.slow > strained {
+				return
+			}
+			p.lateSum = max(0, p.lateSum+late*weight-2*p.slow-lateSlack)
+			s.lateSum = max(0, s.lateSum+late*weight-2*p.slow-lateSlack)
 		}
 		return
 	}
