--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,19 +31,23 @@
 	firstRate   = 0.05   // assumed before anything was seen
 
 	// Open on the design page.
-	lean        = 1.3  // share sent to the trial build, to its share of what the fleet can do
-	strained    = 0.2  // the earlier build's rate of late ones from which lateness tells of load alone
-	errorSlack  = 0.01 // excess of errors that is let pass
-	errorWeight = 1.5  // three errors close together reach voteBackAt
-	barShare    = 0.2  // share of the earlier build's answers that take longer than the bar
-	slowTimes   = 2.5  // a hand-off this many bars long counts as late
-	lateSlack   = 0.1  // excess of late ones over twice that rate that is let pass
-	rateFade    = 0.02
-	paceFade    = 0.12
-	faultFade   = 0.25
-	shunAbove   = 0.5
-	choices     = 2
-	slowPace    = 1.5 // a pace up to it is taken for chance
+	lean         = 1.3  // share sent to the trial build, to its share of what the fleet can do
+	strained     = 0.2  // the earlier build's rate of late ones from which lateness tells of load alone
+	calmTimes    = 1.6  // a hand-off this many bars of before the trial long counts as late for all
+	calmSlack    = 0.25 // excess of these that is let pass
+	allPerSecond = 10.0 // outcomes of a second that count in full there
+	moreLoad     = 1.4  // load, to that before the trial, from which slowness tells of load alone
+	errorSlack   = 0.01 // excess of errors that is let pass
+	errorWeight  = 1.5  // three errors close together reach voteBackAt
+	barShare     = 0.2  // share of the earlier build's answers that take longer than the bar
+	slowTimes    = 2.5  // a hand-off this many bars long counts as late
+	lateSlack    = 0.1  // excess of late ones over twice that rate that is let pass
+	rateFade     = 0.02
+	paceFade     = 0.12
+	faultFade    = 0.25
+	shunAbove    = 0.5
+	choices      = 2
+	slowPace     = 1.5 // a pace up to it is taken for chance
 )
 
 type handOff struct {
@@ -67,6 +71,11 @@
 	copied  bool
 }
 
+// out says whether a hand-off is still open.
+func (t *transaction) out() bool {
+	return slices.ContainsFunc(t.sends, func(h handOff) bool { return !h.over })
+}
+
 // profileRow is what differs by profile.
 type profileRow struct {
 	Profile
@@ -76,6 +85,8 @@
 	errors   float64 // the earlier build's rate of errors
 	errorSum float64 // sums of the trial's excess
 	lateSum  float64
+	calm     float64 // the bar before the trial, 0 if it was not learnt
+	seen     int     // outcomes of the earlier build
 }
 
 // worth is the value for the work.
@@ -116,9 +127,8 @@
 	fit     []int      // scratch of pick
 
 	// The list.
-	following bool
-	askAt     Micros
-	askWait   Micros
+	askAt   Micros
+	askWait Micros
 
 	// The build on trial.
 	news     News
@@ -127,11 +137,12 @@
 	sentBack map[BuildID]bool
 	reach    int // slots under it go to the trial
 	met      map[Key]BuildID
-	exposed  [][]Micros // hand-offs to the trial, by profile or all in the first
+	taken    [][]Micros // transactions, by profile where exposure counts so, else all in the first
+	exposed  [][]Micros // hand-offs to the trial, likewise
 	judged   int
 	baseSeen Micros // last outcome of the earlier build
-	errorSum float64
-	lateSum  float64
+	allSum   float64
+	calmLoad float64 // load before the trial
 	blamed   bool
 	voted    Vote
 	votedAt  Micros
@@ -144,12 +155,14 @@
 		orders: o, chance: rand.New(rand.NewSource(seed)),
 		open: map[TransactionID]*transaction{}, index: map[WorkerID]int{},
 		sentBack: map[BuildID]bool{}, met: map[Key]BuildID{},
-		exposed: make([][]Micros, max(1, len(o.Profiles))),
+		taken: make([][]Micros, max(1, len(o.Profiles))), exposed: make([][]Micros, max(1, len(o.Profiles))),
 	}
 	for _, p := range o.Profiles {
+		due := float64(p.DueTime)
 		s.profiles = append(s.profiles, profileRow{
-			Profile: p, expected: float64(p.DueTime) / 6, bar: float64(p.DueTime) / 4, errors: firstRate, slow: firstRate})
+			Profile: p, expected: due / 6, bar: due / 4, errors: firstRate, slow: firstRate})
 	}
+	s.profiles = append(s.profiles, profileRow{}) // the row for all
 	return s
 }
 
@@ -159,19 +172,18 @@
 	do()
 	s.keepList()
 	s.vote()
-	wake := Micros(0)
 	for len(s.alarms) > 0 && s.alarms[0].t.closed {
 		s.alarms = s.alarms[1:]
 	}
+	next := [...]Micros{s.askAt, s.voteNext, 0}
 	if len(s.alarms) > 0 {
-		wake = s.alarms[0].at
+		next[2] = s.alarms[0].at
 	}
-	for _, at := range [...]Micros{s.askAt, s.voteNext} {
-		if at > s.now && (wake == 0 || at < wake) {
-			wake = at
+	for _, at := range next {
+		if at > s.now && (s.out.WakeAt == 0 || at < s.out.WakeAt) {
+			s.out.WakeAt = at
 		}
 	}
-	s.out.WakeAt = wake
 	return s.out
 }
 
@@ -219,8 +231,7 @@
 // Arrive takes a transaction.
 func (s *Sentry) Arrive(now Micros, in Transaction) Result {
 	return s.call(now, func() {
-		t := &transaction{Transaction: in, arrived: s.now}
-		s.run(t, 0)
+		s.run(&transaction{Transaction: in, arrived: s.now}, 0)
 	})
 }
 
@@ -280,6 +291,8 @@
 	t.slot = s.chance.Intn(100)
 	s.arrivals = append(s.arrivals, s.now)
 	s.arrivals = trim(s.arrivals, s.now-max(s.orders.ExposureWindow, s.orders.FallSpan))
+	c := s.counter(t)
+	s.taken[c] = trim(append(s.taken[c], s.now), s.now-s.orders.ExposureWindow)
 	s.spare = min(s.spare+spareShare, spareMost)
 	s.open[t.ID] = t
 	if float64(s.busy) >= s.room {
@@ -327,26 +340,24 @@
 		guarded := s.news.Stage < s.orders.GuardedStages && s.profiles[t.Profile].Repeat != Redoable
 		if met || t.slot < s.reach && !guarded && !failedThere {
 			switch {
-			case !guarded && s.mayExpose(t) && s.anyReady(trial, t):
+			case !guarded && s.mayExpose(t) && len(s.fitFor(t, trial)) > 0:
 				t.lane = trial
 			case met:
 				return s.giveUp(t)
 			}
 		}
 	}
-	if !s.anyReady(t.lane, t) {
-		return s.holdBack(t)
-	}
 	return pass
 }
 
 // holdBack keeps a transaction while no worker of its build is ready, for as long as an answer in time is likely.
 func (s *Sentry) holdBack(t *transaction) step {
 	until := s.patience(t)
-	if s.now >= until {
+	switch {
+	case t.out(): // a copy that finds no worker is let go
+	case s.now >= until:
 		return s.giveUp(t)
-	}
-	if !t.held {
+	case !t.held:
 		t.held = true
 		s.held = append(s.held, t)
 		s.alarm(until, t)
@@ -384,10 +395,7 @@
 // giveUp answers at once: a deferral where a retry is harmless, else a write-off.
 func (s *Sentry) giveUp(t *transaction) step {
 	p := &s.profiles[t.Profile]
-	ran := false
-	for i := range t.sends {
-		ran = ran || t.sends[i].mayRun
-	}
+	ran := slices.ContainsFunc(t.sends, func(h handOff) bool { return h.mayRun })
 	harmless := !ran || p.Repeat == Redoable || p.Repeat == Labelled && p.Scope == ScopeAll
 	r := Ruling{Kind: WriteOff, Transaction: t.ID}
 	if harmless {
@@ -404,22 +412,13 @@
 
 // forget drops a transaction that is closed and has nothing out.
 func (s *Sentry) forget(t *transaction) {
-	for i := range t.sends {
-		if !t.sends[i].over {
-			return
-		}
+	if !t.out() {
+		delete(s.open, t.ID)
 	}
-	delete(s.open, t.ID)
 }
 
 func (s *Sentry) pick(t *transaction) step {
-	fit := s.fit[:0]
-	for w := range s.workers {
-		if s.ready(w, t.lane, t) {
-			fit = append(fit, w)
-		}
-	}
-	s.fit = fit
+	fit := s.fitFor(t, t.lane)
 	if len(fit) == 0 {
 		return s.holdBack(t)
 	}
@@ -476,13 +475,15 @@
 	return n
 }
 
-func (s *Sentry) anyReady(b BuildID, t *transaction) bool {
+// fitFor lists the workers of a build that may get this transaction now.
+func (s *Sentry) fitFor(t *transaction, b BuildID) []int {
+	s.fit = s.fit[:0]
 	for w := range s.workers {
 		if s.ready(w, b, t) {
-			return true
+			s.fit = append(s.fit, w)
 		}
 	}
-	return false
+	return s.fit
 }
 
 func (s *Sentry) handOff(t *transaction) step {
@@ -550,20 +551,15 @@
 
 // settle closes the transaction or sends it again.
 func (s *Sentry) settle(t *transaction, h *handOff) {
-	if t.closed {
+	switch {
+	case t.closed:
 		s.forget(t)
-		return
-	}
-	for i := range t.sends {
-		if !t.sends[i].over {
-			return
-		}
-	}
-	if !s.mayRepeat(t) || h.mayRun && s.spare < 1 {
+	case t.out():
+	case !s.mayRepeat(t) || h.mayRun && s.spare < 1:
 		s.giveUp(t)
-		return
+	default:
+		s.run(t, 1)
 	}
-	s.run(t, 1)
 }
 
 // ---- The workers ----
@@ -594,17 +590,25 @@
 		return false
 	}
 	s.recent[w] = trim(s.recent[w], s.now-s.orders.FallSpan)
-	total := 0.0
-	for v := range s.workers {
-		if s.workers[v].State == Ready {
-			total += s.size(v) * s.warmth(v)
-		}
-	}
-	fair := float64(since(s.arrivals, s.now-s.orders.FallSpan)) * s.size(w) / total
+	fair := float64(since(s.arrivals, s.now-s.orders.FallSpan)) * s.size(w) / max(s.capacity(everyBuild), s.size(w))
 	return float64(len(s.recent[w])) >= 2+coldPart*s.orders.FallMultiple*warmth*fair
 }
 
-const coldPart = 0.5
+const (
+	coldPart   = 0.5
+	everyBuild = BuildID(-1)
+)
+
+// capacity is what the ready workers of a build that are not known to be down can do by now.
+func (s *Sentry) capacity(b BuildID) float64 {
+	sum := 0.0
+	for w := range s.workers {
+		if (b == everyBuild || s.workers[w].Build == b) && s.workers[w].State == Ready && !s.down[w] {
+			sum += s.size(w) * s.warmth(w)
+		}
+	}
+	return sum
+}
 
 // learnWorker books what an ended hand-off says of its worker.
 func (s *Sentry) learnWorker(t *transaction, h *handOff) {
@@ -615,15 +619,10 @@
 	if h.end.Ending == Cancelled || h.end.Ending == Unsent {
 		return
 	}
-	bad := 1.0
-	if h.end.Ending == Answered {
-		bad = 0
-	}
-	s.faults[w] += faultFade * (bad - s.faults[w])
+	s.faults[w] += faultFade * (one(h.end.Ending != Answered) - s.faults[w])
 	if h.end.Ending == Answered || h.end.Ending == TimedOut {
 		ratio := min(10, float64(h.end.Took)/p.expected)
 		s.pace[w] += paceFade * (ratio - s.pace[w])
-		s.pace[w] = max(0.3, s.pace[w])
 	}
 	switch h.end.Ending {
 	case Unconnected, Broken:
@@ -646,9 +645,7 @@
 func (s *Sentry) Listed(now Micros, kind ListKind, list []Worker) Result {
 	return s.call(now, func() {
 		if kind != ListRemembered {
-			s.following = true
-			s.askWait = 0
-			s.askAt = s.now + s.orders.AskWithin/2
+			s.askWait, s.askAt = 0, s.now+s.orders.AskWithin/2
 		}
 		if kind != ListChanges {
 			for w := range s.workers {
@@ -680,7 +677,6 @@
 // AskFailed notes that the list could not be had.
 func (s *Sentry) AskFailed(now Micros) Result {
 	return s.call(now, func() {
-		s.following = false
 		s.askWait = min(max(second/2, s.askWait*2), s.orders.AskWithin/4)
 		s.askAt = s.now + s.askWait/2 + Micros(s.chance.Int63n(int64(s.askWait)+1))
 	})
@@ -704,8 +700,7 @@
 // Told takes the platform's news and the answer to a vote.
 func (s *Sentry) Told(now Micros, n News) Result {
 	return s.call(now, func() {
-		switch n.Fate {
-		case VoteRefused, VoteUnanswered:
+		if n.Fate == VoteRefused || n.Fate == VoteUnanswered {
 			s.votedAt = 0
 			s.voteNext = s.now + second/4 + Micros(s.chance.Int63n(int64(second)/2))
 		}
@@ -727,10 +722,14 @@
 }
 
 func (s *Sentry) newTrial() {
-	s.reach, s.judged, s.errorSum, s.lateSum, s.blamed = 0, 0, 0, 0, false
+	s.reach, s.judged, s.allSum, s.blamed, s.calmLoad = 0, 0, 0, false, s.load()
 	s.voted, s.votedAt = Vote{}, 0
 	for i := range s.profiles {
-		s.profiles[i].errorSum, s.profiles[i].lateSum = 0, 0
+		p := &s.profiles[i]
+		p.errorSum, p.lateSum, p.calm = 0, 0, 0
+		if p.seen >= leastSample {
+			p.calm = p.bar
+		}
 	}
 	for i := range s.exposed {
 		s.exposed[i] = nil
@@ -759,12 +758,7 @@
 		if s.news.Valid && b >= s.news.Build || s.sentBack[b] {
 			continue
 		}
-		sum := 0.0
-		for v := range s.workers {
-			if s.workers[v].Build == b && s.workers[v].State == Ready {
-				sum += s.size(v)
-			}
-		}
+		sum := s.capacity(b)
 		if sum > most || sum == most && sum > 0 && b > best {
 			best, most = b, sum
 		}
@@ -780,20 +774,8 @@
 		s.reach = 0
 		return
 	}
-	trialCan, earlierCan := 0.0, 0.0
-	for w := range s.workers {
-		if s.workers[w].State != Ready {
-			continue
-		}
-		switch s.workers[w].Build {
-		case trial:
-			trialCan += s.size(w) * s.warmth(w)
-		case s.base:
-			earlierCan += s.size(w) * s.warmth(w)
-		}
-	}
-	fleet := earlierCan
-	if !s.orders.BesideEarlier || earlierCan == 0 {
+	trialCan, fleet := s.capacity(trial), s.capacity(s.base)
+	if !s.orders.BesideEarlier || fleet == 0 {
 		fleet += trialCan
 	}
 	share := 0.0
@@ -826,76 +808,105 @@
 func (s *Sentry) mayExpose(t *transaction) bool {
 	c, from := s.counter(t), s.now-s.orders.ExposureWindow+s.orders.Tick
 	s.exposed[c] = trim(s.exposed[c], from-3*s.orders.Tick)
-	taken := since(s.arrivals, from)
-	if s.orders.ExposureByProfile {
-		taken = 0
-		for _, u := range s.open {
-			if u.Profile == t.Profile && u.arrived > from {
-				taken++
-			}
-		}
-	}
-	return float64(len(s.exposed[c])+1) <= s.orders.FreeExposure+s.news.Cap*float64(taken)
+	taken := float64(since(s.taken[c], from))
+	return float64(len(s.exposed[c])+1) <= s.orders.FreeExposure+s.news.Cap*taken
 }
 
 // ---- The judge ----
 
 // learnBuild books an ended hand-off with the builds: what the trial fails beyond the earlier build's rate adds up.
 func (s *Sentry) learnBuild(t *transaction, h *handOff) {
-	trial, onTrial := s.trial()
-	newest := s.news.Valid && h.build == s.news.Build && (onTrial || s.news.Phase == Released)
+	p, _ := s.rows(t.Profile)
+	newest := s.news.Valid && h.build == s.news.Build && (s.news.Phase == OnTrial || s.news.Phase == Released)
 	if h.end.Ending == Answered && t.Key != "" && newest {
 		s.met[t.Key] = h.build
 	}
-	p := &s.profiles[t.Profile]
-	failed, late := 0.0, 0.0
-	took := float64(h.end.Took)
-	switch h.end.Ending {
-	case Errored:
-		failed = 1
-	case Answered:
-	case TimedOut:
-		late = 1
-	default:
+	took, failed, bar := float64(h.end.Took), h.end.Ending == Errored, min(slowTimes*p.bar, float64(p.DueTime))
+	if !failed && h.end.Ending != Answered && h.end.Ending != TimedOut {
 		return
 	}
-	if newest && (onTrial || s.judged > 0) {
+	warm := !failed && s.now-max(s.workers[h.worker].Started, s.revived[h.worker]) >= max(settleTime, s.orders.WarmUp)
+	late := !failed && (h.end.Ending == TimedOut || took > bar)
+	weight := 1.0
+	if newest || h.build == s.base {
+		weight = s.weigh(h.worker, failed || late)
+	}
+	if warm && (newest || h.build == s.base) {
+		s.judgeAll(p, took, weight)
+	}
+	switch {
+	case newest && h.build != s.base:
 		s.judged++
-		weight := s.weigh(h.worker, failed+late)
-		s.addError(p, failed*weight)
-		if s.age(h.worker) >= max(settleTime, s.orders.WarmUp) && failed == 0 && s.now-s.baseSeen < besideTime {
-			if was := late; p.late(took, late) > was {
-				late, weight = 1, s.weigh(h.worker, 1)
-			}
-			if p.slow > strained {
-				return
-			}
-			p.lateSum = max(0, p.lateSum+late*weight-2*p.slow-lateSlack)
-			s.lateSum = max(0, s.lateSum+late*weight-2*p.slow-lateSlack)
+		s.judgeErrors(t.Profile, failed, weight)
+		if warm && s.now-s.baseSeen < besideTime && p.slow < strained {
+			s.judgeLate(t.Profile, late, weight)
+		}
+	case h.build == s.base:
+		s.baseSeen = s.now
+		p.seen++
+		if newest && s.judged > 0 { // released after a trial that this sentry saw
+			s.judgeErrors(t.Profile, failed, weight)
+		} else {
+			fade(&p.errors, failed)
+		}
+		if warm {
+			fade(&p.slow, late)
+			p.expected += rateFade * (took - p.expected)
+			p.bar += 4 * rateFade * (one(took > p.bar) - barShare) * p.expected
 		}
-		return
 	}
-	if h.build == trial && s.news.Valid || h.build > s.base {
-		return
+}
+
+// rows are the profile's own row and the one for all profiles.
+func (s *Sentry) rows(p ProfileID) (own, all *profileRow) {
+	return &s.profiles[p], &s.profiles[len(s.profiles)-1]
+}
+
+func fade(rate *float64, hit bool) { *rate += rateFade * (one(hit) - *rate) }
+
+func one(hit bool) float64 {
+	if hit {
+		return 1
 	}
-	p.errors += rateFade * (failed - p.errors)
-	s.baseSeen = s.now
-	if failed == 0 && s.warmth(h.worker) == 1 {
-		p.expected += rateFade * (took - p.expected)
-		p.slow += rateFade * (p.late(took, late) - p.slow)
-		over := -barShare
-		if took > p.bar {
-			over = 1 - barShare
-		}
-		p.bar += 4 * rateFade * over * p.expected
+	return 0
+}
+
+func (s *Sentry) judgeErrors(id ProfileID, failed bool, weight float64) {
+	own, all := s.rows(id)
+	by := errorWeight * (one(failed)*weight - own.errors - errorSlack)
+	own.errorSum, all.errorSum = max(0, own.errorSum+by), max(0, all.errorSum+by)
+}
+
+func (s *Sentry) judgeLate(id ProfileID, late bool, weight float64) {
+	own, all := s.rows(id)
+	by := one(late)*weight - 2*own.slow - lateSlack
+	own.lateSum, all.lateSum = max(0, own.lateSum+by), max(0, all.lateSum+by)
+}
+
+// judgeAll compares all workers, of either build, with what answers took before the trial began: a build may slow the
+// whole fleet, and then the earlier build beside it is no measure. Where the fleet bears clearly more than it did then
+// (a burst, workers lost), nothing is held against the build. Weighed per second, not per outcome, since a jam makes
+// many outcomes late at once. It can harm a build when the fleet slows down for a reason that no load shows.
+func (s *Sentry) judgeAll(p *profileRow, took, weight float64) {
+	load := s.load()
+	if p.calm == 0 || s.calmLoad == 0 || load > moreLoad*s.calmLoad || s.judged == 0 {
+		return
 	}
+	late := took > min(calmTimes*p.calm, float64(p.DueTime))
+	perSecond := float64(len(s.arrivals)) * float64(second) / float64(max(s.orders.ExposureWindow, s.orders.FallSpan))
+	s.allSum = max(0, s.allSum+(one(late)*weight-calmSlack)*allPerSecond/max(perSecond, allPerSecond))
+}
+
+// load is what this sentry takes for what the fleet can do.
+func (s *Sentry) load() float64 {
+	return float64(len(s.arrivals)) / max(s.capacity(everyBuild), 1e-9)
 }
 
 // weigh counts a miss of a worker of the trial for less the more this worker has missed beyond its even part of all.
 // It guards against a machine's own trouble (failing fast, slow, shared with another program) being held against the
 // build; it costs time where a bad build has very few workers of which one gets most of the traffic.
-func (s *Sentry) weigh(w int, miss float64) float64 {
-	if miss == 0 {
+func (s *Sentry) weigh(w int, miss bool) float64 {
+	if !miss {
 		return 1
 	}
 	n, total := 0.0, 0.0
@@ -910,24 +921,9 @@
 	return even * even
 }
 
-// late is 1 for a hand-off that took past its due time or well past what the earlier build's take.
-func (p *profileRow) late(took, late float64) float64 {
-	if took > min(slowTimes*p.bar, float64(p.DueTime)) {
-		return 1
-	}
-	return late
-}
-
-func (s *Sentry) addError(p *profileRow, failed float64) {
-	p.errorSum = max(0, p.errorSum+errorWeight*(failed-p.errors-errorSlack))
-	s.errorSum = max(0, s.errorSum+errorWeight*(failed-p.errors-errorSlack))
-}
-
-func (s *Sentry) age(w int) Micros { return s.now - max(s.workers[w].Started, s.revived[w]) }
-
 // sum is the worst of the sums.
 func (s *Sentry) sum() float64 {
-	worst := max(s.errorSum, s.lateSum)
+	worst := s.allSum
 	for i := range s.profiles {
 		worst = max(worst, s.profiles[i].errorSum, s.profiles[i].lateSum)
 	}
@@ -938,12 +934,12 @@
 func (s *Sentry) Complained(now Micros, c Complaint) Result {
 	return s.call(now, func() {
 		w, known := s.index[c.Worker]
-		if known && c.Profile >= 0 && int(c.Profile) < len(s.profiles) {
-			if p := &s.profiles[c.Profile]; s.news.Valid && s.workers[w].Build == s.news.Build {
-				s.addError(p, 1)
-			} else {
-				p.errors += rateFade * (1 - p.errors)
-			}
+		switch {
+		case !known || c.Profile < 0 || int(c.Profile) >= len(s.profiles)-1:
+		case s.news.Valid && s.workers[w].Build == s.news.Build:
+			s.judgeErrors(c.Profile, true, s.weigh(w, true))
+		default:
+			fade(&s.profiles[c.Profile].errors, true)
 		}
 	})
 }
@@ -970,6 +966,9 @@
 	v := Vote{Build: s.news.Build, Stage: s.news.Stage, Verdict: s.verdict()}
 	renew := s.votedAt == 0 || s.now-s.votedAt >= s.orders.VoteLife*6/10
 	if v.Verdict != NoVerdict && (v != s.voted || renew) {
+		if v != s.voted {
+			s.note([...]string{GoOn: "voting on", Hold: "voting to hold", GoBack: "voting back"}[v.Verdict])
+		}
 		s.out.Votes = append(s.out.Votes, v)
 		s.voted, s.votedAt = v, s.now
 	}
@@ -978,8 +977,8 @@
 
 // note says in the log what the judge's sums were.
 func (s *Sentry) note(what string) {
-	line := fmt.Sprintf("%s build %d stage %d: of %d errors %.1f late %.1f, by profile", what, s.news.Build,
-		s.news.Stage, s.judged, s.errorSum, s.lateSum)
+	line := fmt.Sprintf("%s build %d stage %d: of %d, all slower %.1f at load %.2f, errors/late by profile and in all",
+		what, s.news.Build, s.news.Stage, s.judged, s.allSum, s.load()/s.calmLoad)
 	for i := range s.profiles {
 		line += fmt.Sprintf(" %.1f/%.1f", s.profiles[i].errorSum, s.profiles[i].lateSum)
 	}
@@ -988,11 +987,7 @@
 
 func (s *Sentry) verdict() Verdict {
 	sum := s.sum()
-	if sum > voteBackAt && !s.blamed {
-		s.blamed = true
-		s.note("voting back")
-	}
-	if s.blamed {
+	if s.blamed = s.blamed || sum > voteBackAt; s.blamed {
 		return GoBack
 	}
 	if s.news.Phase == Released {
