--- a/logic/logic.go
+++ b/logic/logic.go
@@ -13,6 +13,7 @@
 	"crypto/md5"
 	"encoding/binary"
 	"fmt"
+	"math"
 	"math/rand"
 	"slices"
 	"strconv"
@@ -34,7 +35,7 @@
 	lean         = 1.3  // share sent to the trial build, to its share of what the fleet can do
 	strained     = 0.2  // the earlier build's rate of late ones from which lateness tells of load alone
 	calmTimes    = 1.6  // a hand-off this many bars of before the trial long counts as late for all
-	calmSlack    = 0.25 // excess of these that is let pass
+	calmSlack    = 0.2  // excess of these that is let pass
 	allPerSecond = 10.0 // outcomes of a second that count in full there
 	moreLoad     = 1.4  // load, to that before the trial, from which slowness tells of load alone
 	errorSlack   = 0.01 // excess of errors that is let pass
@@ -108,9 +109,10 @@
 	held     []*transaction
 	profiles []profileRow
 	arrivals []Micros
-	spare    float64 // further hand-offs that the budget still bears
-	busy     int     // own open hand-offs
-	room     float64 // and how many there may be
+	lost     []Micros // transactions that were given up: they tend to come again
+	spare    float64  // further hand-offs that the budget still bears
+	busy     int      // own open hand-offs
+	room     float64  // and how many there may be
 
 	// Workers, under a dense index.
 	index   map[WorkerID]int
@@ -265,6 +267,7 @@
 	return s.call(now, func() {
 		if t := s.open[id]; t != nil {
 			t.closed = true
+			s.lost = append(s.lost, s.now)
 			s.forget(t)
 		}
 	})
@@ -405,6 +408,7 @@
 		}
 	}
 	s.out.Rulings = append(s.out.Rulings, r)
+	s.lost = append(s.lost, s.now)
 	t.closed = true
 	s.forget(t)
 	return end
@@ -894,12 +898,13 @@
 	}
 	late := took > min(calmTimes*p.calm, float64(p.DueTime))
 	perSecond := float64(len(s.arrivals)) * float64(second) / float64(max(s.orders.ExposureWindow, s.orders.FallSpan))
-	s.allSum = max(0, s.allSum+(one(late)*weight-calmSlack)*allPerSecond/max(perSecond, allPerSecond))
+	s.allSum = max(0, s.allSum+(one(late)*math.Sqrt(weight)-calmSlack)*allPerSecond/max(perSecond, allPerSecond))
 }
 
-// load is what this sentry takes for what the fleet can do.
+// load is what this sentry takes for what the fleet can do, less what comes again because it was given up.
 func (s *Sentry) load() float64 {
-	return float64(len(s.arrivals)) / max(s.capacity(everyBuild), 1e-9)
+	s.lost = trim(s.lost, s.now-max(s.orders.ExposureWindow, s.orders.FallSpan))
+	return max(0, float64(len(s.arrivals)-len(s.lost))) / max(s.capacity(everyBuild), 1e-9)
 }
 
 // weigh counts a miss of a worker of the trial for less the more this worker has missed beyond its even part of all.
