--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,8 +46,9 @@
 	rateFade     = 0.02
 	paceFade     = 0.12
 	faultFade    = 0.25
+	othersFade   = 0.4
 	shunAbove    = 0.5
-	choices      = 2
+	choices      = 8
 	slowPace     = 1.5 // a pace up to it is taken for chance
 )
 
@@ -618,7 +619,7 @@
 func (s *Sentry) learnWorker(t *transaction, h *handOff) {
 	w, p := h.worker, &s.profiles[t.Profile]
 	if h.end.Held >= 0 {
-		s.others[w] = max(0, h.end.Held-float64(s.inHand[w]))
+		s.others[w] += othersFade * (max(0, h.end.Held-float64(s.inHand[w])) - s.others[w])
 	}
 	if h.end.Ending == Cancelled || h.end.Ending == Unsent {
 		return
