--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,7 +48,6 @@
 	faultFade    = 0.25
 	othersFade   = 0.4
 	shunAbove    = 0.5
-	choices      = 8
 	slowPace     = 1.5 // a pace up to it is taken for chance
 )
 
@@ -427,9 +426,9 @@
 	if len(fit) == 0 {
 		return s.holdBack(t)
 	}
-	t.worker = fit[s.chance.Intn(len(fit))]
-	for range choices - 1 {
-		if w := fit[s.chance.Intn(len(fit))]; s.score(w) < s.score(t.worker) {
+	t.worker = fit[0]
+	for n, from := 0, s.chance.Intn(len(fit)); n < len(fit); n++ {
+		if w := fit[(n+from)%len(fit)]; n == 0 || s.score(w) < s.score(t.worker) {
 			t.worker = w
 		}
 	}
