--- a/logic/logic.go
+++ b/logic/logic.go
@@ -893,7 +893,8 @@
 // many outcomes late at once. It can harm a build when the fleet slows down for a reason that no load shows.
 func (s *Sentry) judgeAll(p *profileRow, took, weight float64) {
 	load := s.load()
-	if p.calm == 0 || s.calmLoad == 0 || load > moreLoad*s.calmLoad || s.judged == 0 {
+	over := s.news.Phase == Released && s.now-s.toldAt > 2*noAlarmTime
+	if over || p.calm == 0 || s.calmLoad == 0 || load > moreLoad*s.calmLoad || s.judged == 0 {
 		return
 	}
 	late := took > min(calmTimes*p.calm, float64(p.DueTime))
