Slowness of all counts only where even the quicker workers are slow; tidied

Cause: neighbours on half the workers, and single noisy sentries, were held against good builds as 'all slower'. A quarter of the workers as quick as ever now clears the build.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,9 +1,10 @@
-// Package logic holds every decision of a sentry: which build and worker a transaction goes to, what happens when a
-// hand-off fails, and how the sentry votes on the build on trial.
+// Package logic holds every decision of a sentry: which build and worker a transaction goes to, what happens
+// when a hand-off fails, and how the sentry votes on the build on trial.
 //
-// How to call it: make one Sentry with New, from its StandingOrders and a seed, then make one call for each thing that
-// happens (Arrive, HandOffEnded, Listed, Told, ...), each with the caller's time. Every call returns a Result; carry
-// it out in order and call Wake when its WakeAt comes. Nothing else is kept or shared. The types are in port.go.
+// How to call it: make one Sentry with New, from its StandingOrders and a seed, then make one call for each
+// thing that happens (Arrive, HandOffEnded, Listed, Told, ...), each with the caller's time. Every call
+// returns a Result; carry it out in order and call Wake when its WakeAt comes. Nothing else is kept or
+// shared. The types are in port.go.
 //
 // Reading order: the chain (admit, assign, pick, hand off), the workers, the list, the judge.
 package logic
@@ -13,7 +14,6 @@
 	"crypto/md5"
 	"encoding/binary"
 	"fmt"
-	"math"
 	"math/rand"
 	"slices"
 	"strconv"
@@ -36,6 +36,7 @@
 	strained     = 0.2  // the earlier build's rate of late ones from which lateness tells of load alone
 	calmTimes    = 1.6  // a hand-off this many bars of before the trial long counts as late for all
 	calmSlack    = 0.2  // excess of these that is let pass
+	calmPace     = 1.2  // pace of the quicker workers from which all are slower
 	allPerSecond = 10.0 // outcomes of a second that count in full there
 	moreLoad     = 1.4  // load, to that before the trial, from which slowness tells of load alone
 	errorSlack   = 0.01 // excess of errors that is let pass
@@ -62,14 +63,12 @@
 
 type transaction struct {
 	Transaction
-	arrived Micros
-	slot    int // 0 to 99, by the two-build hash
-	lane    BuildID
-	worker  int
-	sends   []handOff
-	closed  bool
-	held    bool
-	copied  bool
+	arrived              Micros
+	slot                 int // 0 to 99, by the two-build hash
+	lane                 BuildID
+	worker               int
+	sends                []handOff
+	closed, held, copied bool
 }
 
 // out says whether a hand-off is still open.
@@ -108,11 +107,11 @@
 	alarms   []alarm // the earliest first
 	held     []*transaction
 	profiles []profileRow
+	span     Micros // how long arrivals are kept
 	arrivals []Micros
-	lost     []Micros // transactions that were given up: they tend to come again
-	spare    float64  // further hand-offs that the budget still bears
-	busy     int      // own open hand-offs
-	room     float64  // and how many there may be
+	spare    float64 // further hand-offs that the budget still bears
+	busy     int     // own open hand-offs
+	room     float64 // and how many there may be
 
 	// Workers, under a dense index.
 	index   map[WorkerID]int
@@ -129,32 +128,30 @@
 	fit     []int      // scratch of pick
 
 	// The list.
-	askAt   Micros
-	askWait Micros
+	askAt, askWait Micros
 
 	// The build on trial.
-	news     News
-	toldAt   Micros
-	base     BuildID
-	sentBack map[BuildID]bool
-	reach    int // slots under it go to the trial
-	met      map[Key]BuildID
-	taken    [][]Micros // transactions, by profile where exposure counts so, else all in the first
-	exposed  [][]Micros // hand-offs to the trial, likewise
-	judged   int
-	baseSeen Micros // last outcome of the earlier build
-	allSum   float64
-	calmLoad float64 // load before the trial
-	blamed   bool
-	voted    Vote
-	votedAt  Micros
-	voteNext Micros
+	news              News
+	toldAt            Micros
+	base              BuildID
+	sentBack          map[BuildID]bool
+	reach             int // slots under it go to the trial
+	met               map[Key]BuildID
+	taken             [][]Micros // transactions, by profile where exposure counts so, else all in the first
+	exposed           [][]Micros // hand-offs to the trial, likewise
+	judged            int
+	baseSeen          Micros // last outcome of the earlier build
+	allSum            float64
+	calmLoad          float64 // load before the trial
+	voted             Vote
+	blamed            bool
+	votedAt, voteNext Micros
 }
 
 // New makes a sentry from its orders and the seed of its chance.
 func New(o StandingOrders, seed int64) *Sentry {
 	s := &Sentry{
-		orders: o, chance: rand.New(rand.NewSource(seed)),
+		orders: o, chance: rand.New(rand.NewSource(seed)), span: max(o.ExposureWindow, o.FallSpan, second),
 		open: map[TransactionID]*transaction{}, index: map[WorkerID]int{},
 		sentBack: map[BuildID]bool{}, met: map[Key]BuildID{},
 		taken: make([][]Micros, max(1, len(o.Profiles))), exposed: make([][]Micros, max(1, len(o.Profiles))),
@@ -172,7 +169,9 @@
 func (s *Sentry) call(now Micros, do func()) Result {
 	s.now, s.out = max(s.now, now), Result{}
 	do()
-	s.keepList()
+	if s.orders.AskForList && s.now >= s.askAt { // keeps the subscription alive
+		s.out.Follow, s.askAt = true, s.now+max(second, s.orders.AskWithin/2)
+	}
 	s.vote()
 	for len(s.alarms) > 0 && s.alarms[0].t.closed {
 		s.alarms = s.alarms[1:]
@@ -191,7 +190,8 @@
 
 func (s *Sentry) alarm(at Micros, t *transaction) {
 	at = max(at, s.now+1)
-	i, _ := slices.BinarySearchFunc(s.alarms, at+1, func(a alarm, at Micros) int { return cmp.Compare(a.at, at) })
+	later := func(a alarm, at Micros) int { return cmp.Compare(a.at, at) }
+	i, _ := slices.BinarySearchFunc(s.alarms, at+1, later)
 	s.alarms = slices.Insert(s.alarms, i, alarm{at, t})
 }
 
@@ -267,7 +267,6 @@
 	return s.call(now, func() {
 		if t := s.open[id]; t != nil {
 			t.closed = true
-			s.lost = append(s.lost, s.now)
 			s.forget(t)
 		}
 	})
@@ -283,8 +282,9 @@
 			case t.closed:
 			case t.held:
 				s.release()
-			default:
-				s.copyOut(t)
+			case !t.copied && s.spare >= 1 && s.mayRepeat(t): // it takes suspiciously long: a second copy
+				t.copied = true
+				s.run(t, 1)
 			}
 		}
 	})
@@ -293,7 +293,7 @@
 func (s *Sentry) admit(t *transaction) step {
 	t.slot = s.chance.Intn(100)
 	s.arrivals = append(s.arrivals, s.now)
-	s.arrivals = trim(s.arrivals, s.now-max(s.orders.ExposureWindow, s.orders.FallSpan))
+	s.arrivals = trim(s.arrivals, s.now-s.span)
 	c := s.counter(t)
 	s.taken[c] = trim(append(s.taken[c], s.now), s.now-s.orders.ExposureWindow)
 	s.spare = min(s.spare+spareShare, spareMost)
@@ -315,9 +315,9 @@
 	roomDown  = 0.4
 )
 
-// learnRoom bounds the open hand-offs by how answers come, so that a fleet that is short of capacity serves what it
-// can in time instead of everything late. It guards against overload of any cause, bursts and storms of repeats
-// included; it can do harm where failures are quick and not due to load, hence its floor.
+// learnRoom bounds the open hand-offs by how answers come, so that a fleet that is short of capacity serves
+// what it can in time instead of everything late. It guards against overload of any cause, bursts and storms
+// of repeats included; it can do harm where failures are quick and not due to load, hence its floor.
 func (s *Sentry) learnRoom(p *profileRow, e HandOffEnd) {
 	ready := float64(max(1, s.readyCount(s.base)))
 	switch {
@@ -353,7 +353,8 @@
 	return pass
 }
 
-// holdBack keeps a transaction while no worker of its build is ready, for as long as an answer in time is likely.
+// holdBack keeps a transaction while no worker of its build is ready, for as long as an answer in time is
+// likely.
 func (s *Sentry) holdBack(t *transaction) step {
 	until := s.patience(t)
 	switch {
@@ -408,7 +409,6 @@
 		}
 	}
 	s.out.Rulings = append(s.out.Rulings, r)
-	s.lost = append(s.lost, s.now)
 	t.closed = true
 	s.forget(t)
 	return end
@@ -511,22 +511,14 @@
 		c := s.counter(t)
 		s.exposed[c] = append(s.exposed[c], s.now)
 	}
-	s.out.Rulings = append(s.out.Rulings, Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: until})
+	r := Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: until}
+	s.out.Rulings = append(s.out.Rulings, r)
 	if s.orders.MayCopy && p.Repeat != Irreversible && !last && !t.copied {
 		s.alarm(s.now+p.DueTime/2, t)
 	}
 	return end
 }
 
-// copyOut sends a second copy when the first hand-off takes suspiciously long.
-func (s *Sentry) copyOut(t *transaction) {
-	if t.copied || s.spare < 1 || !s.mayRepeat(t) {
-		return
-	}
-	t.copied = true
-	s.run(t, 1)
-}
-
 // mayRepeat is rule 2 and the limits on hand-offs.
 func (s *Sentry) mayRepeat(t *transaction) bool {
 	if len(t.sends) >= s.orders.MostHandOffs || t.Limit-s.now < s.orders.Tick {
@@ -538,7 +530,8 @@
 		if !h.over && !s.orders.MayCopy {
 			return false
 		}
-		if h.mayRun && (p.Repeat == Irreversible || p.Repeat == Labelled && s.now >= h.sent+p.Window-s.orders.Tick) {
+		old := p.Repeat == Labelled && s.now >= h.sent+p.Window-s.orders.Tick
+		if h.mayRun && (p.Repeat == Irreversible || old) {
 			return false
 		}
 	}
@@ -585,8 +578,9 @@
 	return s.orders.ColdFrom + (1-s.orders.ColdFrom)*min(1, max(0, age))
 }
 
-// tooCold keeps this sentry's part of what all may send a cold worker: half the stated multiple of what a worker
-// of its size gets of this sentry's traffic. It guards against bursts and retries that fall on one cold worker.
+// tooCold keeps this sentry's part of what all may send a cold worker: half the stated multiple of what a
+// worker of its size gets of this sentry's traffic. It guards against bursts and retries that fall on one
+// cold worker.
 func (s *Sentry) tooCold(w int) bool {
 	warmth := s.warmth(w)
 	if warmth >= 1 {
@@ -594,7 +588,8 @@
 		return false
 	}
 	s.recent[w] = trim(s.recent[w], s.now-s.orders.FallSpan)
-	fair := float64(since(s.arrivals, s.now-s.orders.FallSpan)) * s.size(w) / max(s.capacity(everyBuild), s.size(w))
+	part := s.size(w) / max(s.capacity(everyBuild), s.size(w))
+	fair := part * float64(since(s.arrivals, s.now-s.orders.FallSpan))
 	return float64(len(s.recent[w])) >= 2+coldPart*s.orders.FallMultiple*warmth*fair
 }
 
@@ -669,8 +664,8 @@
 				s.misses = append(s.misses, 0)
 			}
 			if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
-				s.others[w], s.pace[w], s.faults[w], s.shunned[w], s.revived[w], s.down[w] = 0, 1, 0, 0, 0, false
-				s.misses[w] = 0
+				s.others[w], s.pace[w], s.faults[w], s.misses[w] = 0, 1, 0, 0
+				s.shunned[w], s.revived[w], s.down[w] = 0, 0, false
 			}
 			s.workers[w] = in
 		}
@@ -686,14 +681,6 @@
 	})
 }
 
-// keepList keeps a subscription alive where the list comes only when asked for.
-func (s *Sentry) keepList() {
-	if s.orders.AskForList && s.now >= s.askAt {
-		s.out.Follow = true
-		s.askAt = s.now + max(second, s.orders.AskWithin/2)
-	}
-}
-
 // ---- The build on trial ----
 
 // trial is the build on trial, if there is one that may be sent to.
@@ -770,8 +757,8 @@
 	return best
 }
 
-// ramp raises the trial's slots with what its workers can do by now, up to the cap, and never lowers them while the
-// cap stands: a key that was sent to the trial stays there.
+// ramp raises the trial's slots with what its workers can do by now, up to the cap, and never lowers them
+// while the cap stands: a key that was sent to the trial stays there.
 func (s *Sentry) ramp() {
 	trial, on := s.trial()
 	if !on {
@@ -818,7 +805,8 @@
 
 // ---- The judge ----
 
-// learnBuild books an ended hand-off with the builds: what the trial fails beyond the earlier build's rate adds up.
+// learnBuild books an ended hand-off with the builds: what the trial fails beyond the earlier build's rate
+// adds up.
 func (s *Sentry) learnBuild(t *transaction, h *handOff) {
 	p, _ := s.rows(t.Profile)
 	newest := s.news.Valid && h.build == s.news.Build && (s.news.Phase == OnTrial || s.news.Phase == Released)
@@ -829,23 +817,24 @@
 	if !failed && h.end.Ending != Answered && h.end.Ending != TimedOut {
 		return
 	}
-	warm := !failed && s.now-max(s.workers[h.worker].Started, s.revived[h.worker]) >= max(settleTime, s.orders.WarmUp)
-	late := !failed && (h.end.Ending == TimedOut || took > bar)
-	weight := 1.0
-	if newest || h.build == s.base {
-		weight = s.weigh(h.worker, failed || late)
+	if !newest && h.build != s.base {
+		return
 	}
-	if warm && (newest || h.build == s.base) {
-		s.judgeAll(p, took, weight)
+	age := s.now - max(s.workers[h.worker].Started, s.revived[h.worker])
+	warm := !failed && age >= max(settleTime, s.orders.WarmUp)
+	late := !failed && (h.end.Ending == TimedOut || took > bar)
+	weight := s.weigh(h.worker, failed || late)
+	if warm {
+		s.judgeAll(p, took)
 	}
-	switch {
-	case newest && h.build != s.base:
+	switch h.build {
+	default:
 		s.judged++
 		s.judgeErrors(t.Profile, failed, weight)
 		if warm && s.now-s.baseSeen < besideTime && p.slow < strained {
 			s.judgeLate(t.Profile, late, weight)
 		}
-	case h.build == s.base:
+	case s.base:
 		s.baseSeen = s.now
 		p.seen++
 		if newest && s.judged > 0 { // released after a trial that this sentry saw
@@ -855,7 +844,9 @@
 		}
 		if warm {
 			fade(&p.slow, late)
-			p.expected += rateFade * (took - p.expected)
+			if s.news.Phase != OnTrial { // paces are to what was usual before the trial
+				p.expected += rateFade * (took - p.expected)
+			}
 			p.bar += 4 * rateFade * (one(took > p.bar) - barShare) * p.expected
 		}
 	}
@@ -887,30 +878,41 @@
 	own.lateSum, all.lateSum = max(0, own.lateSum+by), max(0, all.lateSum+by)
 }
 
-// judgeAll compares all workers, of either build, with what answers took before the trial began: a build may slow the
-// whole fleet, and then the earlier build beside it is no measure. Where the fleet bears clearly more than it did then
-// (a burst, workers lost), nothing is held against the build. Weighed per second, not per outcome, since a jam makes
-// many outcomes late at once. It can harm a build when the fleet slows down for a reason that no load shows.
-func (s *Sentry) judgeAll(p *profileRow, took, weight float64) {
-	load := s.load()
+// judgeAll compares all workers, of either build, with what answers took before the trial began: a build may
+// slow the whole fleet, and then the earlier build beside it is no measure. Nothing is held against the build
+// where the fleet bears clearly more than it did then (a burst, workers lost), where a quarter of the workers
+// is as quick as ever (neighbours, slow machines), or long after the release. Weighed per second, since a jam
+// makes many late at once. It can harm a build when the whole fleet slows down for a reason that no load
+// shows.
+func (s *Sentry) judgeAll(p *profileRow, took float64) {
 	over := s.news.Phase == Released && s.now-s.toldAt > 2*noAlarmTime
-	if over || p.calm == 0 || s.calmLoad == 0 || load > moreLoad*s.calmLoad || s.judged == 0 {
+	if over || p.calm == 0 || s.calmLoad == 0 || s.load() > moreLoad*s.calmLoad || s.judged == 0 {
 		return
 	}
-	late := took > min(calmTimes*p.calm, float64(p.DueTime))
-	perSecond := float64(len(s.arrivals)) * float64(second) / float64(max(s.orders.ExposureWindow, s.orders.FallSpan))
-	s.allSum = max(0, s.allSum+(one(late)*math.Sqrt(weight)-calmSlack)*allPerSecond/max(perSecond, allPerSecond))
+	late := took > min(calmTimes*p.calm, float64(p.DueTime)) && s.quickPace() > calmPace
+	perSecond := float64(len(s.arrivals)) * float64(second) / float64(s.span)
+	s.allSum = max(0, s.allSum+(one(late)-calmSlack)*allPerSecond/max(perSecond, allPerSecond))
 }
 
-// load is what this sentry takes for what the fleet can do, less what comes again because it was given up.
-func (s *Sentry) load() float64 {
-	s.lost = trim(s.lost, s.now-max(s.orders.ExposureWindow, s.orders.FallSpan))
-	return max(0, float64(len(s.arrivals)-len(s.lost))) / max(s.capacity(everyBuild), 1e-9)
+// quickPace is the pace that a quarter of the ready workers keeps or beats.
+func (s *Sentry) quickPace() float64 {
+	paces := []float64{1}
+	for w := range s.workers {
+		if s.workers[w].State == Ready && s.warmth(w) == 1 {
+			paces = append(paces, s.pace[w])
+		}
+	}
+	slices.Sort(paces[1:])
+	return paces[min(len(paces)-1, (len(paces)+3)/4)]
 }
 
-// weigh counts a miss of a worker of the trial for less the more this worker has missed beyond its even part of all.
-// It guards against a machine's own trouble (failing fast, slow, shared with another program) being held against the
-// build; it costs time where a bad build has very few workers of which one gets most of the traffic.
+// load is what this sentry takes for what the fleet can do.
+func (s *Sentry) load() float64 { return float64(len(s.arrivals)) / max(s.capacity(everyBuild), 1e-9) }
+
+// weigh counts a miss of a worker of the trial for less the more this worker has missed beyond its even part
+// of all. It guards against a machine's own trouble (failing fast, slow, shared with another program) being
+// held against the build; it costs time where a bad build has very few workers of which one gets most of the
+// traffic.
 func (s *Sentry) weigh(w int, miss bool) float64 {
 	if !miss {
 		return 1
@@ -927,13 +929,12 @@
 	return even * even
 }
 
-// sum is the worst of the sums.
-func (s *Sentry) sum() float64 {
-	worst := s.allSum
-	for i := range s.profiles {
-		worst = max(worst, s.profiles[i].errorSum, s.profiles[i].lateSum)
+func (s *Sentry) sums() []float64 {
+	sums := []float64{s.allSum}
+	for _, p := range s.profiles {
+		sums = append(sums, p.errorSum, p.lateSum)
 	}
-	return worst
+	return sums
 }
 
 // Complained takes a client's word that an answer was wrong: it counts as an error of that build.
@@ -983,16 +984,13 @@
 
 // note says in the log what the judge's sums were.
 func (s *Sentry) note(what string) {
-	line := fmt.Sprintf("%s build %d stage %d: of %d, all slower %.1f at load %.2f, errors/late by profile and in all",
-		what, s.news.Build, s.news.Stage, s.judged, s.allSum, s.load()/s.calmLoad)
-	for i := range s.profiles {
-		line += fmt.Sprintf(" %.1f/%.1f", s.profiles[i].errorSum, s.profiles[i].lateSum)
-	}
-	s.out.Notes = append(s.out.Notes, line)
+	s.out.Notes = append(s.out.Notes, fmt.Sprintf(
+		"%s build %d stage %d: of %d at load %.2f: all slower, then errors and late by profile and in all %.1f",
+		what, s.news.Build, s.news.Stage, s.judged, s.load()/s.calmLoad, s.sums()))
 }
 
 func (s *Sentry) verdict() Verdict {
-	sum := s.sum()
+	sum := slices.Max(s.sums())
 	if s.blamed = s.blamed || sum > voteBackAt; s.blamed {
 		return GoBack
 	}
--- a/logic/port.go
+++ b/logic/port.go
@@ -272,8 +272,8 @@
 	Body []byte
 }
 
-// Result is what a call wants done. WakeAt asks for a Wake call then; 0 asks for none; a later call may name an
-// earlier time and a Wake that comes unasked does no harm.
+// Result is what a call wants done. WakeAt asks for a Wake call then; 0 asks for none; a later call may name
+// an earlier time and a Wake that comes unasked does no harm.
 type Result struct {
 	Rulings  []Ruling
 	Votes    []Vote
