--- a/logic/logic.go
+++ b/logic/logic.go
@@ -809,9 +809,11 @@
 // adds up.
 func (s *Sentry) learnBuild(t *transaction, h *handOff) {
 	p, _ := s.rows(t.Profile)
-	newest := s.news.Valid && h.build == s.news.Build && (s.news.Phase == OnTrial || s.news.Phase == Released)
-	if h.end.Ending == Answered && t.Key != "" && newest {
-		s.met[t.Key] = h.build
+	stands := s.news.Valid && (s.news.Phase == OnTrial || s.news.Phase == Released)
+	newest := stands && h.build == s.news.Build
+	// The list may have changed its mind on the worker's build meanwhile: either counts as met.
+	if is := s.workers[h.worker].Build; h.end.Ending == Answered && stands && (newest || is == s.news.Build) {
+		s.met[t.Key] = s.news.Build
 	}
 	took, failed, bar := float64(h.end.Took), h.end.Ending == Errored, min(slowTimes*p.bar, float64(p.DueTime))
 	if !failed && h.end.Ending != Answered && h.end.Ending != TimedOut {
--- /dev/null
+++ b/logic/rules_test.go
@@ -0,0 +1,368 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+)
+
+// fleet is a made-up deployment that checks the rules after every step. It knows nothing of how the module decides.
+type fleet struct {
+	t       *testing.T
+	o       StandingOrders
+	s       *Sentry
+	chance  *rand.Rand
+	now     Micros
+	list    map[WorkerID]Worker
+	told    map[WorkerID]Micros // since when the sentry knows that a worker drains or is gone
+	news    News
+	lowered Micros
+	lastCap float64
+	since   Micros // exposure is counted from here
+	live    map[TransactionID]*owed
+	order   []TransactionID
+	taken   []Micros
+	exposed []Micros
+	met     map[Key]bool
+	cold    map[WorkerID][]Micros
+	count   int
+	answers int
+	handed  int
+	back    int
+	on      int
+}
+
+type owed struct {
+	in     Transaction
+	closed bool
+	sends  []*sent
+}
+
+type sent struct {
+	worker WorkerID
+	at     Micros
+	over   bool
+	mayRun bool
+}
+
+func orders(chance *rand.Rand) StandingOrders {
+	pick := func(n int) bool { return chance.Intn(n) == 0 }
+	o := StandingOrders{
+		Sentries: 1 + chance.Intn(5), AskForList: pick(2), AskWithin: 10 * second, MayCopy: pick(2), MayMessage: pick(2),
+		MayCancel: true, MayNameReturn: true, MostHandOffs: 1 + chance.Intn(5), MostReturn: second, Tick: 5000,
+		AnswerGrace: 20000, DrainGrace: second / 4, ColdFrom: 0.4, WarmUp: 4 * second, FallMultiple: 3, FallSpan: second,
+		Control: Control(chance.Intn(2)), BesideEarlier: pick(2), StageShares: []float64{0.1, 0.4, 1},
+		StageCaps: []float64{0.2, 0.6, 1}, FreeExposure: 2, ExposureWindow: 3 * second, GuardedStages: chance.Intn(2),
+		ForwardOnly: pick(2), OnVotes: 1, BackVotes: 1, VoteLife: 6 * second, VoteWait: second, VotesPerSecond: 10,
+		Bake: 3 * second, CrossPrice: 0.04,
+	}
+	for r := Redoable; r <= Irreversible; r++ {
+		o.Profiles = append(o.Profiles, Profile{DueTime: second / 2, OuterLimit: 2 * second, Value: 1 + float64(r),
+			Repeat: r, Window: second, Scope: Scope(chance.Intn(3))})
+	}
+	return o
+}
+
+func newFleet(t *testing.T, seed int64) *fleet {
+	chance := rand.New(rand.NewSource(seed))
+	f := &fleet{t: t, chance: chance, now: 1000 * second, o: orders(chance), list: map[WorkerID]Worker{},
+		told: map[WorkerID]Micros{}, live: map[TransactionID]*owed{}, met: map[Key]bool{}, cold: map[WorkerID][]Micros{}}
+	f.s = New(f.o, seed)
+	for i := range 8 {
+		f.put(Worker{ID: f.id(i), Build: 10, Size: 1 + float64(i%2), Zone: ZoneID(i % 2), Cell: i % 3})
+	}
+	f.do(f.s.Listed(f.now, ListRemembered, f.workers()))
+	f.tell(News{Valid: true, Build: 10, Stage: 2, Phase: Released, Cap: 1})
+	return f
+}
+
+func (f *fleet) id(i int) WorkerID { return WorkerID(fmt.Sprintf("w%d", i)) }
+
+func (f *fleet) put(w Worker) {
+	f.list[w.ID] = w
+	if w.State == Ready {
+		delete(f.told, w.ID)
+	} else if _, known := f.told[w.ID]; !known {
+		f.told[w.ID] = f.now
+	}
+}
+
+func (f *fleet) workers() []Worker {
+	var all []Worker
+	for i := range 20 {
+		if w, ok := f.list[f.id(i)]; ok {
+			all = append(all, w)
+		}
+	}
+	return all
+}
+
+func (f *fleet) tell(n News) {
+	if n.Build != f.news.Build {
+		f.exposed, f.met = nil, map[Key]bool{}
+	}
+	if n.Phase == GoingBack || n.Phase == Withdrawn {
+		f.met = map[Key]bool{}
+	}
+	f.news = n
+	f.do(f.s.Told(f.now, n))
+}
+
+func (f *fleet) fail(format string, args ...any) {
+	f.t.Helper()
+	f.t.Fatalf("at %d: %s", f.now, fmt.Sprintf(format, args...))
+}
+
+// do checks every ruling against the rules as they are worded.
+func (f *fleet) do(r Result) {
+	f.t.Helper()
+	for _, x := range r.Rulings {
+		o := f.live[x.Transaction]
+		if o == nil || o.closed {
+			f.fail("rule 1: ruling %v on a transaction that is not open", x)
+		}
+		mayRun, out := false, 0
+		for _, h := range o.sends {
+			mayRun = mayRun || h.mayRun
+			if !h.over {
+				out++
+			}
+		}
+		p := f.o.Profiles[o.in.Profile]
+		switch x.Kind {
+		case HandOff:
+			f.handOff(o, x, p, mayRun, out)
+		case Defer:
+			if mayRun && (p.Repeat == Irreversible || p.Repeat == Labelled && p.Scope != ScopeAll) {
+				f.fail("rule 2: %v deferred though it may have run", x)
+			}
+			o.closed = true
+			f.answers++
+		case WriteOff:
+			o.closed = true
+			f.answers++
+		}
+	}
+	for _, v := range r.Votes {
+		switch v.Verdict {
+		case GoBack:
+			f.back++
+		case GoOn:
+			f.on++
+		}
+	}
+}
+
+func (f *fleet) handOff(o *owed, x Ruling, p Profile, mayRun bool, out int) {
+	f.t.Helper()
+	f.handed++
+	w, known := f.list[x.Worker]
+	if !known || f.now > o.in.Limit || x.Until > o.in.Limit {
+		f.fail("rule 1: %v to an unknown worker or past its limit", x)
+	}
+	if out > 0 && !f.o.MayCopy || len(o.sends) >= f.o.MostHandOffs {
+		f.fail("rule 2: hand-off %v with %d out of %d", x, out, len(o.sends))
+	}
+	for _, h := range o.sends {
+		if !h.mayRun {
+			continue
+		}
+		first := f.list[h.worker]
+		apart := p.Scope == ScopeZone && first.Zone != w.Zone || p.Scope == ScopeCell && first.Cell != w.Cell
+		if p.Repeat == Irreversible || p.Repeat == Labelled && (apart || f.now >= h.at+p.Window) {
+			f.fail("rule 2: %v sent again", x)
+		}
+	}
+	if since, bad := f.told[x.Worker]; bad && f.now > since+f.o.DrainGrace {
+		f.fail("rule 3: %v to a worker that drains or is gone", x)
+	}
+	trial := f.news.Build == w.Build && f.news.Phase != Released
+	switch {
+	case w.Build > f.news.Build:
+		f.fail("rule 5: %v to a build not announced", x)
+	case trial && f.news.Phase != OnTrial:
+		f.fail("rule 5: %v to a build that goes back", x)
+	case trial && f.news.Stage < f.o.GuardedStages && p.Repeat != Redoable:
+		f.fail("rule 5: %v to the trial in a guarded stage", x)
+	case trial:
+		from := f.now - f.o.ExposureWindow
+		f.exposed = append(trim(f.exposed, from), f.now)
+		if taken := since(f.taken, from); float64(len(f.exposed)) > f.o.FreeExposure+f.news.Cap*float64(taken)+1e-9 {
+			f.fail("rule 5: %d hand-offs to the trial, %d taken, cap %v", len(f.exposed), taken, f.news.Cap)
+		}
+	}
+	if f.o.ForwardOnly && f.met[o.in.Key] && w.Build < f.news.Build && f.news.Phase != Withdrawn {
+		f.fail("rule 5: %v takes a key back", x)
+	}
+	if age := f.now - w.Started; w.Started > 0 && age < f.o.FallSpan {
+		f.cold[w.ID] = append(trim(f.cold[w.ID], f.now-f.o.FallSpan), f.now)
+		most := 3 + f.o.FallMultiple*float64(since(f.taken, f.now-f.o.FallSpan))/2
+		if float64(len(f.cold[w.ID])) > most {
+			f.fail("rule 4: %d hand-offs to one cold worker", len(f.cold[w.ID]))
+		}
+	}
+	o.sends = append(o.sends, &sent{worker: x.Worker, at: f.now, mayRun: true})
+}
+
+func (f *fleet) arrive() {
+	f.count++
+	in := Transaction{ID: TransactionID(fmt.Sprint(f.count)), Profile: ProfileID(f.chance.Intn(3)), Account: NoAccount,
+		Key: Key(fmt.Sprintf("%x", f.chance.Intn(60))), Limit: f.now + second/2 + Micros(f.chance.Int63n(int64(second)))}
+	if f.chance.Intn(20) == 0 {
+		in.Key = ""
+	}
+	f.live[in.ID] = &owed{in: in}
+	f.order = append(f.order, in.ID)
+	f.taken = append(f.taken, f.now)
+	f.do(f.s.Arrive(f.now, in))
+}
+
+// end ends one open hand-off, or all that have passed their transaction's limit.
+func (f *fleet) end(o *owed, n int, e Ending) {
+	h := o.sends[n]
+	if h.over {
+		return
+	}
+	h.over = true
+	h.mayRun = e != TurnedAway && e != Unconnected && e != Unsent
+	closed := o.closed || e == Answered
+	if e == Answered && !o.closed {
+		f.answers++
+		if w := f.list[h.worker]; w.Build == f.news.Build && f.news.Phase <= Released && f.news.Phase != GoingBack {
+			f.met[o.in.Key] = o.in.Key != ""
+		}
+	}
+	o.closed = closed
+	f.do(f.s.HandOffEnded(f.now, HandOffEnd{Transaction: o.in.ID, HandOff: n, Worker: h.worker, Ending: e,
+		Took: f.now - h.at, Closed: closed, Held: float64(f.chance.Intn(4) - 1)}))
+}
+
+// sweep ends what has run out and sees that nothing open is overdue.
+func (f *fleet) sweep() {
+	kept := f.order[:0]
+	for _, id := range f.order {
+		o := f.live[id]
+		out := false
+		for n, h := range o.sends {
+			if !h.over && f.now >= o.in.Limit {
+				f.end(o, n, TimedOut)
+			}
+			out = out || !h.over
+		}
+		if !o.closed && f.now > o.in.Limit+f.o.AnswerGrace {
+			f.fail("rule 1: %s has no final answer", id)
+		}
+		if o.closed && !out {
+			delete(f.live, id)
+			continue
+		}
+		kept = append(kept, id)
+	}
+	f.order = kept
+}
+
+func (f *fleet) step() {
+	f.now += 5000
+	f.do(f.s.Wake(f.now))
+	f.sweep()
+	for range f.chance.Intn(3) {
+		f.arrive()
+	}
+	for range 2 {
+		if len(f.order) == 0 {
+			break
+		}
+		o := f.live[f.order[f.chance.Intn(len(f.order))]]
+		if len(o.sends) > 0 {
+			e := Answered
+			if f.chance.Intn(4) == 0 {
+				e = Ending(f.chance.Intn(8))
+			}
+			f.end(o, f.chance.Intn(len(o.sends)), e)
+		}
+	}
+	switch f.chance.Intn(150) {
+	case 0, 1, 2, 3:
+		f.change()
+	case 4:
+		f.stage()
+	case 5:
+		f.oddities()
+	}
+}
+
+// change starts, restarts, drains or ends a worker and tells the sentry, wholly or by changes.
+func (f *fleet) change() {
+	w := Worker{ID: f.id(f.chance.Intn(16)), Build: f.news.Build + BuildID(f.chance.Intn(3)-1), Size: 1,
+		Started: f.now - Micros(f.chance.Int63n(int64(second))), State: WorkerState(f.chance.Intn(4) % 3)}
+	if old, known := f.list[w.ID]; known && w.State != Ready {
+		old.State = w.State
+		w = old
+	}
+	f.put(w)
+	if f.chance.Intn(2) == 0 {
+		f.do(f.s.Listed(f.now, ListChanges, []Worker{w}))
+	} else {
+		f.do(f.s.Listed(f.now, ListWhole, f.workers()))
+	}
+}
+
+func (f *fleet) stage() {
+	n := f.news
+	n.Valid, n.Age = true, 0
+	switch {
+	case n.Phase == Released || n.Phase == Withdrawn:
+		n.Build, n.Phase, n.Stage = n.Build+1, OnTrial, 0
+	case n.Phase == GoingBack:
+		n.Phase = Withdrawn
+	case f.chance.Intn(3) == 0:
+		n.Phase = GoingBack
+	case n.Stage < 2:
+		n.Stage++
+	default:
+		n.Phase = Released
+	}
+	n.Cap = f.o.StageCaps[n.Stage]
+	if n.Phase == GoingBack || n.Phase == Withdrawn {
+		n.Cap = 0
+	}
+	f.tell(n)
+}
+
+// oddities are calls that are legal and should change nothing but what they must.
+func (f *fleet) oddities() {
+	body := make([]byte, f.chance.Intn(300))
+	f.chance.Read(body)
+	f.do(f.s.PeerSaid(f.now, SentryID(f.chance.Intn(9)-2), body))
+	f.do(f.s.Complained(f.now, Complaint{Profile: ProfileID(f.chance.Intn(9) - 2), Worker: f.id(f.chance.Intn(30))}))
+	f.do(f.s.Tallied(f.now, Tally{Build: 99, Profile: 7}))
+	f.do(f.s.Probed(f.now, "nobody", Errored, -5, -1))
+	f.do(f.s.AskFailed(f.now))
+	f.do(f.s.ClientLeft(f.now, "nobody"))
+	f.do(f.s.HandOffEnded(f.now, HandOffEnd{Transaction: "nobody", HandOff: -3, Worker: "nobody"}))
+	f.do(f.s.Told(f.now, News{Fate: VoteUnanswered}))
+	f.do(f.s.Told(f.now, News{Fate: VoteMoot}))
+	odd := Worker{ID: "w19", Build: 0, Size: -1, Started: f.now * 5, State: Ready}
+	f.put(odd)
+	f.do(f.s.Listed(f.now, ListChanges, []Worker{odd}))
+	if len(f.order) > 0 {
+		o := f.live[f.order[0]]
+		o.closed = true
+		f.do(f.s.ClientLeft(f.now, o.in.ID))
+	}
+}
+
+func FuzzRules(f *testing.F) {
+	for seed := range 60 {
+		f.Add(int64(seed))
+	}
+	f.Fuzz(func(t *testing.T, seed int64) {
+		fl := newFleet(t, seed)
+		for range 4000 {
+			fl.step()
+		}
+		if fl.answers < 1000 || fl.handed < 500 {
+			t.Fatalf("only %d answers and %d hand-offs in the whole run", fl.answers, fl.handed)
+		}
+	})
+}
