--- /dev/null
+++ b/logic/cases_test.go
@@ -0,0 +1,236 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// stand is a sentry with some workers of build 10 and some of build 11, which is on trial, served one at a time.
+type stand struct {
+	s    *Sentry
+	now  Micros
+	n    int
+	back bool
+	last Result
+}
+
+func newStand(earlier, trial int) *stand {
+	o := StandingOrders{
+		Sentries: 1, MostHandOffs: 1, Tick: 5000, ColdFrom: 0.4, WarmUp: 4 * second, FallMultiple: 4, FallSpan: 2 * second,
+		StageCaps: []float64{0.5, 1}, StageShares: []float64{0.5, 1}, FreeExposure: 2, ExposureWindow: 4 * second,
+		ForwardOnly: true, BackVotes: 1, OnVotes: 1, VoteLife: 6 * second, BesideEarlier: true, MayNameReturn: true,
+		MostReturn: second, MayCopy: true,
+		Profiles: []Profile{{DueTime: second / 2, OuterLimit: 2 * second, Value: 1},
+			{DueTime: second / 2, OuterLimit: 2 * second, Value: 1, Repeat: Irreversible}},
+	}
+	b := &stand{s: New(o, 1), now: 1000 * second}
+	var list []Worker
+	for i := range earlier {
+		list = append(list, Worker{ID: WorkerID(fmt.Sprint("e", i)), Build: 10, Size: 1})
+	}
+	b.s.Listed(b.now, ListWhole, list)
+	b.tell(News{Valid: true, Build: 10, Phase: Released, Cap: 1})
+	b.serve(400, func(WorkerID, int) (Ending, Micros) { return Answered, 50_000 })
+	for i := range trial {
+		list = append(list, Worker{ID: WorkerID(fmt.Sprint("t", i)), Build: 11, Size: 1})
+	}
+	b.s.Listed(b.now, ListWhole, list)
+	b.tell(News{Valid: true, Build: 11, Phase: OnTrial, Cap: 0.5})
+	return b
+}
+
+func (b *stand) tell(n News) { b.see(b.s.Told(b.now, n)) }
+
+func (b *stand) see(r Result) {
+	b.last = r
+	for _, v := range r.Votes {
+		b.back = b.back || v.Verdict == GoBack
+	}
+}
+
+// serve takes n transactions, 20 ms apart, each ended as the worker's answer says.
+func (b *stand) serve(n int, answer func(w WorkerID, n int) (Ending, Micros)) {
+	for range n {
+		b.n++
+		b.now += 20_000
+		id := TransactionID(fmt.Sprint(b.n))
+		b.see(b.s.Arrive(b.now, Transaction{ID: id, Profile: ProfileID(b.n % 2), Account: NoAccount,
+			Key: Key(fmt.Sprintf("%x", b.n*7919)), Limit: b.now + 2*second}))
+		for _, r := range b.last.Rulings {
+			if r.Kind != HandOff {
+				continue
+			}
+			e, took := answer(r.Worker, b.n)
+			b.see(b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: r.Worker, Ending: e, Took: took,
+				Closed: e == Answered, Held: -1}))
+		}
+	}
+}
+
+func trialWorker(w WorkerID) bool { return w[0] == 't' }
+
+// The wanted slots were reckoned with md5sum.
+func TestSlotOf(t *testing.T) {
+	if got := slotOf("91f03b7c55d20a64", 41, 42); got != 61 {
+		t.Errorf("slot %d, want 61", got)
+	}
+	if got := slotOf("a", 1, 2); got != 79 {
+		t.Errorf("slot %d, want 79", got)
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	type answer func(w WorkerID, n int) (Ending, Micros)
+	every := func(n, k int) bool { return n%k == 0 }
+	cases := []struct {
+		name   string
+		answer answer
+		back   bool
+	}{
+		{"a good build", func(w WorkerID, n int) (Ending, Micros) { return Answered, 50_000 }, false},
+		{"a build that fails one in ten", func(w WorkerID, n int) (Ending, Micros) {
+			if trialWorker(w) && every(n, 10) {
+				return Errored, 5_000
+			}
+			return Answered, 50_000
+		}, true},
+		{"a build that fails half of one profile", func(w WorkerID, n int) (Ending, Micros) {
+			if trialWorker(w) && n%4 == 1 {
+				return Errored, 5_000
+			}
+			return Answered, 50_000
+		}, true},
+		{"one worker of the trial that fails", func(w WorkerID, n int) (Ending, Micros) {
+			if w == "t2" && every(n, 2) {
+				return Errored, 5_000
+			}
+			return Answered, 50_000
+		}, false},
+		{"errors on both builds alike", func(w WorkerID, n int) (Ending, Micros) {
+			if every(n*7919, 50) {
+				return Errored, 5_000
+			}
+			return Answered, 50_000
+		}, false},
+		{"a build that works four times as long", func(w WorkerID, n int) (Ending, Micros) {
+			if trialWorker(w) {
+				return Answered, 200_000
+			}
+			return Answered, 50_000
+		}, true},
+		{"a build that slows every worker, more and more", func(w WorkerID, n int) (Ending, Micros) {
+			return Answered, 50_000 + Micros(n-400)*200
+		}, true},
+		{"neighbours on half of all workers", func(w WorkerID, n int) (Ending, Micros) {
+			if w[1]%2 == 0 {
+				return Answered, 250_000
+			}
+			return Answered, 50_000
+		}, false},
+		{"connections that break", func(w WorkerID, n int) (Ending, Micros) {
+			if trialWorker(w) && every(n, 3) {
+				return Broken, 5_000
+			}
+			return Answered, 50_000
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newStand(8, 8)
+			b.serve(1200, c.answer)
+			if b.back != c.back {
+				t.Errorf("voted back: %v, want %v", b.back, c.back)
+			}
+		})
+	}
+}
+
+// A released build is not sent back for slowness that comes long after its release.
+func TestLateSlownessAfterRelease(t *testing.T) {
+	b := newStand(8, 8)
+	quick := func(WorkerID, int) (Ending, Micros) { return Answered, 50_000 }
+	b.serve(300, quick)
+	b.tell(News{Valid: true, Build: 11, Stage: 1, Phase: Released, Cap: 1})
+	b.serve(600, quick)
+	b.serve(600, func(WorkerID, int) (Ending, Micros) { return Answered, 300_000 })
+	if b.back {
+		t.Error("a released build was voted back for late slowness")
+	}
+}
+
+// Over the exposure counter a key that met the trial is deferred with a time to come back, never sent back.
+func TestHotKeyOverTheCounter(t *testing.T) {
+	b := newStand(8, 8)
+	key := Key("hot")
+	for n := 0; slotOf(key, 10, 11) >= 40; n++ {
+		key = Key(fmt.Sprint("hot", n))
+	}
+	deferred := 0
+	for n := range 400 {
+		b.now += 5_000
+		id := TransactionID(fmt.Sprint("h", n))
+		r := b.s.Arrive(b.now, Transaction{ID: id, Key: key, Account: NoAccount, Limit: b.now + second})
+		for _, x := range r.Rulings {
+			switch {
+			case x.Kind == Defer && x.ComeBack > 0:
+				deferred++
+			case n > 0 && !trialWorker(x.Worker):
+				t.Fatalf("transaction %d of a met key: %v", n, x)
+			default:
+				b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: x.Worker, Closed: true, Took: 50_000, Held: -1})
+			}
+		}
+	}
+	if deferred < 100 {
+		t.Errorf("only %d of 400 deferred over a cap of a half", deferred)
+	}
+}
+
+// When nothing comes back, what is taken is bounded: the rest is deferred in good time, with a time to come back.
+func TestOverload(t *testing.T) {
+	b := newStand(4, 0)
+	out, deferred := 0, 0
+	count := func(r Result) {
+		for _, x := range r.Rulings {
+			if x.Kind == HandOff {
+				out++
+			} else if x.Kind == Defer && x.ComeBack > 0 {
+				deferred++
+			}
+		}
+	}
+	for n := range 500 {
+		b.now += 2_000
+		count(b.s.Arrive(b.now, Transaction{ID: TransactionID(fmt.Sprint("o", n)), Account: NoAccount, Limit: b.now + 2*second}))
+		count(b.s.Wake(b.now))
+	}
+	b.now += second / 2
+	count(b.s.Wake(b.now))
+	if out > 100 || deferred < 350 {
+		t.Errorf("%d handed off and %d deferred of 500 without an answer", out, deferred)
+	}
+}
+
+// Without a worker of the earlier build a transaction waits, is handed off when one starts, and else deferred in time.
+func TestNoWorkerOfTheEarlierBuild(t *testing.T) {
+	for _, comes := range []bool{true, false} {
+		b := newStand(4, 4)
+		b.tell(News{Valid: true, Build: 11, Phase: GoingBack})
+		var list []Worker
+		b.s.Listed(b.now, ListWhole, list)
+		r := b.s.Arrive(b.now, Transaction{ID: "x", Account: NoAccount, Limit: b.now + 2*second})
+		if len(r.Rulings) > 0 || r.WakeAt == 0 {
+			t.Fatalf("not held: %v", r)
+		}
+		b.now += second / 10
+		if comes {
+			r = b.s.Listed(b.now, ListWhole, []Worker{{ID: "n", Build: 10, Size: 1, Started: b.now}})
+		} else {
+			b.now += second / 2
+			r = b.s.Wake(b.now)
+		}
+		if len(r.Rulings) != 1 || (r.Rulings[0].Kind == HandOff) != comes || (r.Rulings[0].Kind == Defer) == comes {
+			t.Errorf("worker comes %v: %v", comes, r.Rulings)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,8 +28,7 @@
 	leastSample = 20         // outcomes before a vote on
 	settleTime  = 3 * second // a worker this young is not judged on time
 	noAlarmTime = 5 * second
-	besideTime  = second // lateness needs an outcome of the earlier build as recent as this
-	firstRate   = 0.05   // assumed before anything was seen
+	firstRate   = 0.05 // assumed before anything was seen
 
 	// Open on the design page.
 	lean         = 1.3  // share sent to the trial build, to its share of what the fleet can do
@@ -38,7 +37,7 @@
 	calmSlack    = 0.2  // excess of these that is let pass
 	calmPace     = 1.2  // pace of the quicker workers from which all are slower
 	allPerSecond = 10.0 // outcomes of a second that count in full there
-	moreLoad     = 1.4  // load, to that before the trial, from which slowness tells of load alone
+	loadSlows    = 2.5  // how much the pace rises with load for no fault of a build
 	errorSlack   = 0.01 // excess of errors that is let pass
 	errorWeight  = 1.5  // three errors close together reach voteBackAt
 	barShare     = 0.2  // share of the earlier build's answers that take longer than the bar
@@ -50,6 +49,7 @@
 	othersFade   = 0.4
 	shunAbove    = 0.5
 	slowPace     = 1.5 // a pace up to it is taken for chance
+	coldPart     = 0.5 // of the stated multiple, what a cold worker may get
 )
 
 type handOff struct {
@@ -63,12 +63,12 @@
 
 type transaction struct {
 	Transaction
-	arrived              Micros
-	slot                 int // 0 to 99, by the two-build hash
-	lane                 BuildID
-	worker               int
-	sends                []handOff
-	closed, held, copied bool
+	arrived      Micros
+	slot         int // 0 to 99, by the two-build hash
+	lane         BuildID
+	worker       int
+	sends        []handOff
+	closed, held bool
 }
 
 // out says whether a hand-off is still open.
@@ -197,17 +197,10 @@
 
 // ---- The chain ----
 
-type step int
-
-const (
-	pass step = iota
-	keep
-	end
-)
-
-// A stage sees a transaction on its way out and each ended hand-off on its way back.
+// A stage sees a transaction on its way out, and says whether it passes it on or has kept or ended it, and each
+// ended hand-off on its way back.
 type stage struct {
-	ahead func(*Sentry, *transaction) step
+	ahead func(*Sentry, *transaction) bool
 	back  func(*Sentry, *transaction, *handOff)
 }
 
@@ -224,7 +217,7 @@
 
 func (s *Sentry) run(t *transaction, from int) {
 	for _, st := range chain[from:] {
-		if st.ahead(s, t) != pass {
+		if !st.ahead(s, t) {
 			return
 		}
 	}
@@ -282,15 +275,14 @@
 			case t.closed:
 			case t.held:
 				s.release()
-			case !t.copied && s.spare >= 1 && s.mayRepeat(t): // it takes suspiciously long: a second copy
-				t.copied = true
+			case len(t.sends) == 1 && s.spare >= 1 && s.mayRepeat(t): // suspiciously long: a second copy
 				s.run(t, 1)
 			}
 		}
 	})
 }
 
-func (s *Sentry) admit(t *transaction) step {
+func (s *Sentry) admit(t *transaction) bool {
 	t.slot = s.chance.Intn(100)
 	s.arrivals = append(s.arrivals, s.now)
 	s.arrivals = trim(s.arrivals, s.now-s.span)
@@ -301,7 +293,7 @@
 	if float64(s.busy) >= s.room {
 		return s.holdBack(t)
 	}
-	return pass
+	return true
 }
 
 const (
@@ -331,7 +323,7 @@
 }
 
 // assign chooses the build: the two-build hash, under the counter, with keys going forward only.
-func (s *Sentry) assign(t *transaction) step {
+func (s *Sentry) assign(t *transaction) bool {
 	trial, onTrial := s.trial()
 	met := s.orders.ForwardOnly && onTrial && t.Key != "" && s.met[t.Key] == trial
 	t.lane = s.base
@@ -350,12 +342,12 @@
 			}
 		}
 	}
-	return pass
+	return true
 }
 
 // holdBack keeps a transaction while no worker of its build is ready, for as long as an answer in time is
 // likely.
-func (s *Sentry) holdBack(t *transaction) step {
+func (s *Sentry) holdBack(t *transaction) bool {
 	until := s.patience(t)
 	switch {
 	case t.out(): // a copy that finds no worker is let go
@@ -366,7 +358,7 @@
 		s.held = append(s.held, t)
 		s.alarm(until, t)
 	}
-	return keep
+	return false
 }
 
 // patience is how long a transaction is held: until an answer in time is no longer likely.
@@ -397,7 +389,7 @@
 }
 
 // giveUp answers at once: a deferral where a retry is harmless, else a write-off.
-func (s *Sentry) giveUp(t *transaction) step {
+func (s *Sentry) giveUp(t *transaction) bool {
 	p := &s.profiles[t.Profile]
 	ran := slices.ContainsFunc(t.sends, func(h handOff) bool { return h.mayRun })
 	harmless := !ran || p.Repeat == Redoable || p.Repeat == Labelled && p.Scope == ScopeAll
@@ -411,7 +403,7 @@
 	s.out.Rulings = append(s.out.Rulings, r)
 	t.closed = true
 	s.forget(t)
-	return end
+	return false
 }
 
 // forget drops a transaction that is closed and has nothing out.
@@ -421,7 +413,7 @@
 	}
 }
 
-func (s *Sentry) pick(t *transaction) step {
+func (s *Sentry) pick(t *transaction) bool {
 	fit := s.fitFor(t, t.lane)
 	if len(fit) == 0 {
 		return s.holdBack(t)
@@ -432,7 +424,7 @@
 			t.worker = w
 		}
 	}
-	return pass
+	return true
 }
 
 // score is the load of a worker for its size: the lowest wins.
@@ -490,7 +482,7 @@
 	return s.fit
 }
 
-func (s *Sentry) handOff(t *transaction) step {
+func (s *Sentry) handOff(t *transaction) bool {
 	p, w := &s.profiles[t.Profile], t.worker
 	until := t.Limit
 	last := len(t.sends)+1 >= s.orders.MostHandOffs || p.Repeat == Irreversible
@@ -513,10 +505,10 @@
 	}
 	r := Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: until}
 	s.out.Rulings = append(s.out.Rulings, r)
-	if s.orders.MayCopy && p.Repeat != Irreversible && !last && !t.copied {
+	if s.orders.MayCopy && p.Repeat != Irreversible && !last && len(t.sends) == 1 {
 		s.alarm(s.now+p.DueTime/2, t)
 	}
-	return end
+	return false
 }
 
 // mayRepeat is rule 2 and the limits on hand-offs.
@@ -593,10 +585,7 @@
 	return float64(len(s.recent[w])) >= 2+coldPart*s.orders.FallMultiple*warmth*fair
 }
 
-const (
-	coldPart   = 0.5
-	everyBuild = BuildID(-1)
-)
+const everyBuild = BuildID(-1)
 
 // capacity is what the ready workers of a build that are not known to be down can do by now.
 func (s *Sentry) capacity(b BuildID) float64 {
@@ -833,7 +822,7 @@
 	default:
 		s.judged++
 		s.judgeErrors(t.Profile, failed, weight)
-		if warm && s.now-s.baseSeen < besideTime && p.slow < strained {
+		if warm && s.now-s.baseSeen < second && p.slow < strained {
 			s.judgeLate(t.Profile, late, weight)
 		}
 	case s.base:
@@ -846,7 +835,7 @@
 		}
 		if warm {
 			fade(&p.slow, late)
-			if s.news.Phase != OnTrial { // paces are to what was usual before the trial
+			if !s.watched() { // paces are to what was usual before the trial
 				p.expected += rateFade * (took - p.expected)
 			}
 			p.bar += 4 * rateFade * (one(took > p.bar) - barShare) * p.expected
@@ -887,20 +876,26 @@
 // makes many late at once. It can harm a build when the whole fleet slows down for a reason that no load
 // shows.
 func (s *Sentry) judgeAll(p *profileRow, took float64) {
-	over := s.news.Phase == Released && s.now-s.toldAt > 2*noAlarmTime
-	if over || p.calm == 0 || s.calmLoad == 0 || s.load() > moreLoad*s.calmLoad || s.judged == 0 {
+	if !s.watched() || p.calm == 0 || s.calmLoad == 0 {
 		return
 	}
-	late := took > min(calmTimes*p.calm, float64(p.DueTime)) && s.quickPace() > calmPace
+	byLoad := 1 + loadSlows*max(0, s.load()/s.calmLoad-1)
+	late := took > min(calmTimes*p.calm, float64(p.DueTime)) && s.quickPace() > calmPace*byLoad
 	perSecond := float64(len(s.arrivals)) * float64(second) / float64(s.span)
 	s.allSum = max(0, s.allSum+(one(late)-calmSlack)*allPerSecond/max(perSecond, allPerSecond))
 }
 
+// watched says whether the newest build is on trial or freshly released.
+func (s *Sentry) watched() bool {
+	return s.judged > 0 && (s.news.Phase == OnTrial || s.now-s.toldAt <= 2*noAlarmTime)
+}
+
 // quickPace is the pace that a quarter of the ready workers keeps or beats.
 func (s *Sentry) quickPace() float64 {
 	paces := []float64{1}
 	for w := range s.workers {
-		if s.workers[w].State == Ready && s.warmth(w) == 1 {
+		judged := s.workers[w].Build == s.base || s.workers[w].Build == s.news.Build
+		if judged && s.workers[w].State == Ready && s.warmth(w) == 1 {
 			paces = append(paces, s.pace[w])
 		}
 	}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -208,8 +208,11 @@
 	f.count++
 	in := Transaction{ID: TransactionID(fmt.Sprint(f.count)), Profile: ProfileID(f.chance.Intn(3)), Account: NoAccount,
 		Key: Key(fmt.Sprintf("%x", f.chance.Intn(60))), Limit: f.now + second/2 + Micros(f.chance.Int63n(int64(second)))}
-	if f.chance.Intn(20) == 0 {
+	switch f.chance.Intn(8) {
+	case 0:
 		in.Key = ""
+	case 1, 2, 3:
+		in.Key = Key(fmt.Sprint(f.count / 100)) // a hot key, now and then in the trial's slots
 	}
 	f.live[in.ID] = &owed{in: in}
 	f.order = append(f.order, in.ID)
