Workers that cannot be reached are tried again after growing waits

It guards against dead workers and cut links that the list tells seconds late; it could leave a worker that is back idle for up to 8 s if no list names its start.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -116,13 +116,13 @@
 	// Workers, under a dense index.
 	index   map[WorkerID]int
 	workers []Worker
-	inHand  []int     // own open hand-offs
-	others  []float64 // reported load beyond these
-	pace    []float64 // time of answers to what is expected
-	faults  []float64 // smoothed share of failures
-	shunned []Micros  // not before then
-	revived []Micros  // answered then, after it had been down
-	down    []bool
+	inHand  []int      // own open hand-offs
+	others  []float64  // reported load beyond these
+	pace    []float64  // time of answers to what is expected
+	faults  []float64  // smoothed share of failures
+	shunned []Micros   // not before then
+	revived []Micros   // answered then, after it had been down
+	strikes []int      // failed tries to reach it since it last answered
 	recent  [][]Micros // hand-offs while cold
 	misses  []float64  // what the judge counted against it in this trial
 	fit     []int      // scratch of pick
@@ -591,7 +591,7 @@
 func (s *Sentry) capacity(b BuildID) float64 {
 	sum := 0.0
 	for w := range s.workers {
-		if (b == everyBuild || s.workers[w].Build == b) && s.workers[w].State == Ready && !s.down[w] {
+		if (b == everyBuild || s.workers[w].Build == b) && s.workers[w].State == Ready && s.strikes[w] == 0 {
 			sum += s.size(w) * s.warmth(w)
 		}
 	}
@@ -614,11 +614,13 @@
 	}
 	switch h.end.Ending {
 	case Unconnected, Broken:
-		s.down[w] = true
-		s.shunned[w] = s.now + second
+		if s.now >= s.shunned[w] { // tried again after growing waits, for the list tells seconds late
+			s.strikes[w] = min(s.strikes[w]+1, 4)
+			s.shunned[w] = s.now + second/2<<s.strikes[w]
+		}
 	case Answered:
-		if s.down[w] {
-			s.down[w], s.revived[w] = false, s.now
+		if s.strikes[w] > 0 {
+			s.strikes[w], s.revived[w], s.shunned[w] = 0, s.now, 0
 		}
 	default:
 		if s.faults[w] > shunAbove {
@@ -649,12 +651,12 @@
 				s.inHand, s.others = append(s.inHand, 0), append(s.others, 0)
 				s.pace, s.faults = append(s.pace, 1), append(s.faults, 0)
 				s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
-				s.down, s.recent = append(s.down, false), append(s.recent, nil)
+				s.strikes, s.recent = append(s.strikes, 0), append(s.recent, nil)
 				s.misses = append(s.misses, 0)
 			}
 			if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
 				s.others[w], s.pace[w], s.faults[w], s.misses[w] = 0, 1, 0, 0
-				s.shunned[w], s.revived[w], s.down[w] = 0, 0, false
+				s.shunned[w], s.revived[w], s.strikes[w] = 0, 0, 0
 			}
 			s.workers[w] = in
 		}
