--- a/logic/logic.go
+++ b/logic/logic.go
@@ -137,8 +137,9 @@
 	sentBack          map[BuildID]bool
 	reach             int // slots under it go to the trial
 	met               map[Key]BuildID
-	taken             [][]Micros // transactions, by profile where exposure counts so, else all in the first
-	exposed           [][]Micros // hand-offs to the trial, likewise
+	again             map[Key]int // given up, and not come again yet
+	taken             [][]Micros  // transactions, by profile where exposure counts so, else all in the first
+	exposed           [][]Micros  // hand-offs to the trial, likewise
 	judged            int
 	baseSeen          Micros // last outcome of the earlier build
 	allSum            float64
@@ -153,7 +154,7 @@
 	s := &Sentry{
 		orders: o, chance: rand.New(rand.NewSource(seed)), span: max(o.ExposureWindow, o.FallSpan, second),
 		open: map[TransactionID]*transaction{}, index: map[WorkerID]int{},
-		sentBack: map[BuildID]bool{}, met: map[Key]BuildID{},
+		sentBack: map[BuildID]bool{}, met: map[Key]BuildID{}, again: map[Key]int{},
 		taken: make([][]Micros, max(1, len(o.Profiles))), exposed: make([][]Micros, max(1, len(o.Profiles))),
 	}
 	for _, p := range o.Profiles {
@@ -284,7 +285,11 @@
 
 func (s *Sentry) admit(t *transaction) bool {
 	t.slot = s.chance.Intn(100)
-	s.arrivals = append(s.arrivals, s.now)
+	if s.again[t.Key] > 0 { // what was given up comes again, which is no more load
+		s.again[t.Key]--
+	} else {
+		s.arrivals = append(s.arrivals, s.now)
+	}
 	s.arrivals = trim(s.arrivals, s.now-s.span)
 	c := s.counter(t)
 	s.taken[c] = trim(append(s.taken[c], s.now), s.now-s.orders.ExposureWindow)
@@ -300,9 +305,8 @@
 	spareShare = 0.1 // further hand-offs and copies, to transactions taken
 	spareMost  = 10
 
-	roomStart = 2.0 // open hand-offs to ready workers at the start, and the most
+	roomLeast = 2.0 // open hand-offs to ready workers at the start, and the least, to this sentry's share of them
 	roomMost  = 8.0
-	roomLeast = 2.0 // the least, to this sentry's share of them
 	roomUp    = 0.1 // for each answer in time while the room is used, and for each failure
 	roomDown  = 0.4
 )
@@ -401,6 +405,7 @@
 		}
 	}
 	s.out.Rulings = append(s.out.Rulings, r)
+	s.again[t.Key]++
 	t.closed = true
 	s.forget(t)
 	return false
@@ -486,9 +491,6 @@
 	p, w := &s.profiles[t.Profile], t.worker
 	until := t.Limit
 	last := len(t.sends)+1 >= s.orders.MostHandOffs || p.Repeat == Irreversible
-	if patience := s.now + p.DueTime*7/10; !last && !s.orders.MayCopy && s.spare >= 1 && patience < until {
-		until = patience
-	}
 	if len(t.sends) > 0 {
 		s.spare--
 	}
@@ -709,7 +711,7 @@
 	for i := range s.profiles {
 		p := &s.profiles[i]
 		p.errorSum, p.lateSum, p.calm = 0, 0, 0
-		if p.seen >= leastSample {
+		if p.seen >= 2*leastSample {
 			p.calm = p.bar
 		}
 	}
@@ -723,7 +725,7 @@
 func (s *Sentry) lookAround() {
 	s.base = s.findBase()
 	if s.room == 0 {
-		s.room = roomStart * float64(s.readyCount(s.base))
+		s.room = roomLeast * float64(s.readyCount(s.base))
 	}
 	s.ramp()
 	s.release()
@@ -837,10 +839,11 @@
 		}
 		if warm {
 			fade(&p.slow, late)
-			if !s.watched() { // paces are to what was usual before the trial
-				p.expected += rateFade * (took - p.expected)
+			rate := max(rateFade, 1/float64(p.seen)) // quick at first, for a trial may begin soon
+			if !s.watched() {                        // paces are to what was usual before the trial
+				p.expected += rate * (took - p.expected)
 			}
-			p.bar += 4 * rateFade * (one(took > p.bar) - barShare) * p.expected
+			p.bar += 4 * rate * (one(took > p.bar) - barShare) * p.expected
 		}
 	}
 }
@@ -950,19 +953,17 @@
 	})
 }
 
-// Tallied takes the platform's count.
-func (s *Sentry) Tallied(now Micros, t Tally) Result { return s.call(now, func() {}) }
+func nothing() {}
 
-// Probed takes the end of a probe.
-func (s *Sentry) Probed(now Micros, id WorkerID, e Ending, took Micros, held float64) Result {
-	return s.call(now, func() {})
-}
+// Tallied, Probed and PeerSaid take what no decision uses yet.
+func (s *Sentry) Tallied(now Micros, _ Tally) Result { return s.call(now, nothing) }
 
-// PeerSaid takes a message from another sentry.
-func (s *Sentry) PeerSaid(now Micros, from SentryID, body []byte) Result {
-	return s.call(now, func() {})
+func (s *Sentry) Probed(now Micros, _ WorkerID, _ Ending, _ Micros, _ float64) Result {
+	return s.call(now, nothing)
 }
 
+func (s *Sentry) PeerSaid(now Micros, _ SentryID, _ []byte) Result { return s.call(now, nothing) }
+
 // vote forms this sentry's verdict and sends it when it has changed or is about to lapse.
 func (s *Sentry) vote() {
 	if s.now < s.voteNext || !s.news.Valid || s.news.Phase != OnTrial && s.news.Phase != Released {
