--- a/logic/cases_test.go
+++ b/logic/cases_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-// stand is a sentry with some workers of build 10 and some of build 11, which is on trial, served one at a time.
+// stand is a sentry with some workers of build 10 and some of build 11, on trial, served one at a time.
 type stand struct {
 	s    *Sentry
 	now  Micros
@@ -16,7 +16,8 @@
 
 func newStand(earlier, trial int) *stand {
 	o := StandingOrders{
-		Sentries: 1, MostHandOffs: 1, Tick: 5000, ColdFrom: 0.4, WarmUp: 4 * second, FallMultiple: 4, FallSpan: 2 * second,
+		Sentries: 1, MostHandOffs: 1, Tick: 5000, ColdFrom: 0.4, WarmUp: 4 * second,
+		FallMultiple: 4, FallSpan: 2 * second,
 		StageCaps: []float64{0.5, 1}, StageShares: []float64{0.5, 1}, FreeExposure: 2, ExposureWindow: 4 * second,
 		ForwardOnly: true, BackVotes: 1, OnVotes: 1, VoteLife: 6 * second, BesideEarlier: true, MayNameReturn: true,
 		MostReturn: second, MayCopy: true,
@@ -177,7 +178,8 @@
 			case n > 0 && !trialWorker(x.Worker):
 				t.Fatalf("transaction %d of a met key: %v", n, x)
 			default:
-				b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: x.Worker, Closed: true, Took: 50_000, Held: -1})
+				b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: x.Worker, Closed: true, Took: 50_000,
+					Held: -1})
 			}
 		}
 	}
@@ -186,7 +188,8 @@
 	}
 }
 
-// When nothing comes back, what is taken is bounded: the rest is deferred in good time, with a time to come back.
+// When nothing comes back, what is taken is bounded: the rest is deferred in good time, with a time to
+// come back.
 func TestOverload(t *testing.T) {
 	b := newStand(4, 0)
 	out, deferred := 0, 0
@@ -201,7 +204,8 @@
 	}
 	for n := range 500 {
 		b.now += 2_000
-		count(b.s.Arrive(b.now, Transaction{ID: TransactionID(fmt.Sprint("o", n)), Account: NoAccount, Limit: b.now + 2*second}))
+		count(b.s.Arrive(b.now, Transaction{ID: TransactionID(fmt.Sprint("o", n)), Account: NoAccount,
+			Limit: b.now + 2*second}))
 		count(b.s.Wake(b.now))
 	}
 	b.now += second / 2
@@ -211,7 +215,8 @@
 	}
 }
 
-// Without a worker of the earlier build a transaction waits, is handed off when one starts, and else deferred in time.
+// Without a worker of the earlier build a transaction waits, is handed off when one starts, and else
+// deferred in time.
 func TestNoWorkerOfTheEarlierBuild(t *testing.T) {
 	for _, comes := range []bool{true, false} {
 		b := newStand(4, 4)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -198,8 +198,7 @@
 
 // ---- The chain ----
 
-// A stage sees a transaction on its way out, and says whether it passes it on or has kept or ended it, and each
-// ended hand-off on its way back.
+// A stage passes a transaction on or keeps or ends it, and sees each ended hand-off on its way back.
 type stage struct {
 	ahead func(*Sentry, *transaction) bool
 	back  func(*Sentry, *transaction, *handOff)
@@ -305,7 +304,7 @@
 	spareShare = 0.1 // further hand-offs and copies, to transactions taken
 	spareMost  = 10
 
-	roomLeast = 2.0 // open hand-offs to ready workers at the start, and the least, to this sentry's share of them
+	roomLeast = 2.0 // open hand-offs to ready workers at the start; the least, to this sentry's share
 	roomMost  = 8.0
 	roomUp    = 0.1 // for each answer in time while the room is used, and for each failure
 	roomDown  = 0.4
@@ -434,7 +433,8 @@
 
 // score is the load of a worker for its size: the lowest wins.
 func (s *Sentry) score(w int) float64 {
-	load := (float64(s.inHand[w]) + s.others[w] + 1) * max(1, s.pace[w]/slowPace) / (s.size(w) * s.warmth(w))
+	load := (float64(s.inHand[w]) + s.others[w] + 1) / (s.workers[w].Size * s.warmth(w))
+	load *= max(1, s.pace[w]/slowPace)
 	if s.workers[w].Zone != s.orders.Zone {
 		load *= 1 + 8*s.orders.CrossPrice
 	}
@@ -544,6 +544,11 @@
 func (s *Sentry) settle(t *transaction, h *handOff) {
 	switch {
 	case t.closed:
+		for n := range t.sends {
+			if !t.sends[n].over && s.orders.MayCancel { // a copy that is no longer wanted
+				s.out.Rulings = append(s.out.Rulings, Ruling{Kind: CancelHandOff, Transaction: t.ID, Number: n})
+			}
+		}
 		s.forget(t)
 	case t.out():
 	case !s.mayRepeat(t) || h.mayRun && s.spare < 1:
@@ -555,13 +560,6 @@
 
 // ---- The workers ----
 
-func (s *Sentry) size(w int) float64 {
-	if z := s.workers[w].Size; z > 0 {
-		return z
-	}
-	return 1
-}
-
 // warmth is the least part of its work that a worker can do by now.
 func (s *Sentry) warmth(w int) float64 {
 	start := max(s.workers[w].Started, s.revived[w])
@@ -582,7 +580,7 @@
 		return false
 	}
 	s.recent[w] = trim(s.recent[w], s.now-s.orders.FallSpan)
-	part := s.size(w) / max(s.capacity(everyBuild), s.size(w))
+	part := s.workers[w].Size / max(s.capacity(everyBuild), s.workers[w].Size)
 	fair := part * float64(since(s.arrivals, s.now-s.orders.FallSpan))
 	return float64(len(s.recent[w])) >= 2+coldPart*s.orders.FallMultiple*warmth*fair
 }
@@ -594,7 +592,7 @@
 	sum := 0.0
 	for w := range s.workers {
 		if (b == everyBuild || s.workers[w].Build == b) && s.workers[w].State == Ready && s.strikes[w] == 0 {
-			sum += s.size(w) * s.warmth(w)
+			sum += s.workers[w].Size * s.warmth(w)
 		}
 	}
 	return sum
@@ -645,6 +643,9 @@
 			}
 		}
 		for _, in := range list {
+			if in.Size <= 0 {
+				in.Size = 1
+			}
 			w, known := s.index[in.ID]
 			if !known {
 				w = len(s.workers)
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -6,7 +6,8 @@
 	"testing"
 )
 
-// fleet is a made-up deployment that checks the rules after every step. It knows nothing of how the module decides.
+// fleet is a made-up deployment that checks the rules after every step. It knows nothing of how the module
+// decides.
 type fleet struct {
 	t       *testing.T
 	o       StandingOrders
@@ -48,12 +49,15 @@
 func orders(chance *rand.Rand) StandingOrders {
 	pick := func(n int) bool { return chance.Intn(n) == 0 }
 	o := StandingOrders{
-		Sentries: 1 + chance.Intn(5), AskForList: pick(2), AskWithin: 10 * second, MayCopy: pick(2), MayMessage: pick(2),
-		MayCancel: true, MayNameReturn: true, MostHandOffs: 1 + chance.Intn(5), MostReturn: second, Tick: 5000,
-		AnswerGrace: 20000, DrainGrace: second / 4, ColdFrom: 0.4, WarmUp: 4 * second, FallMultiple: 3, FallSpan: second,
-		Control: Control(chance.Intn(2)), BesideEarlier: pick(2), StageShares: []float64{0.1, 0.4, 1},
-		StageCaps: []float64{0.2, 0.6, 1}, FreeExposure: 2, ExposureWindow: 3 * second, GuardedStages: chance.Intn(2),
-		ForwardOnly: pick(2), OnVotes: 1, BackVotes: 1, VoteLife: 6 * second, VoteWait: second, VotesPerSecond: 10,
+		Sentries: 1 + chance.Intn(5), AskForList: pick(2), AskWithin: 10 * second, MayCopy: pick(2),
+		MayMessage: pick(2),
+		MayCancel:  true, MayNameReturn: true, MostHandOffs: 1 + chance.Intn(5), MostReturn: second, Tick: 5000,
+		AnswerGrace: 20000, DrainGrace: second / 4, ColdFrom: 0.4, WarmUp: 4 * second, FallMultiple: 3,
+		FallSpan: second,
+		Control:  Control(chance.Intn(2)), BesideEarlier: pick(2), StageShares: []float64{0.1, 0.4, 1},
+		StageCaps: []float64{0.2, 0.6, 1}, FreeExposure: 2, ExposureWindow: 3 * second,
+		GuardedStages: chance.Intn(2),
+		ForwardOnly:   pick(2), OnVotes: 1, BackVotes: 1, VoteLife: 6 * second, VoteWait: second,
 		Bake: 3 * second, CrossPrice: 0.04,
 	}
 	for r := Redoable; r <= Irreversible; r++ {
@@ -66,7 +70,8 @@
 func newFleet(t *testing.T, seed int64) *fleet {
 	chance := rand.New(rand.NewSource(seed))
 	f := &fleet{t: t, chance: chance, now: 1000 * second, o: orders(chance), list: map[WorkerID]Worker{},
-		told: map[WorkerID]Micros{}, live: map[TransactionID]*owed{}, met: map[Key]bool{}, cold: map[WorkerID][]Micros{}}
+		told: map[WorkerID]Micros{}, live: map[TransactionID]*owed{}, met: map[Key]bool{},
+		cold: map[WorkerID][]Micros{}}
 	f.s = New(f.o, seed)
 	for i := range 8 {
 		f.put(Worker{ID: f.id(i), Build: 10, Size: 1 + float64(i%2), Zone: ZoneID(i % 2), Cell: i % 3})
@@ -118,6 +123,12 @@
 	f.t.Helper()
 	for _, x := range r.Rulings {
 		o := f.live[x.Transaction]
+		if x.Kind == CancelHandOff {
+			if o == nil || x.Number >= len(o.sends) || o.sends[x.Number].over {
+				f.fail("rule 1: %v cancels what is not out", x)
+			}
+			continue
+		}
 		if o == nil || o.closed {
 			f.fail("rule 1: ruling %v on a transaction that is not open", x)
 		}
@@ -187,7 +198,8 @@
 	case trial:
 		from := f.now - f.o.ExposureWindow
 		f.exposed = append(trim(f.exposed, from), f.now)
-		if taken := since(f.taken, from); float64(len(f.exposed)) > f.o.FreeExposure+f.news.Cap*float64(taken)+1e-9 {
+		if taken := since(f.taken,
+			from); float64(len(f.exposed)) > f.o.FreeExposure+f.news.Cap*float64(taken)+1e-9 {
 			f.fail("rule 5: %d hand-offs to the trial, %d taken, cap %v", len(f.exposed), taken, f.news.Cap)
 		}
 	}
@@ -206,8 +218,10 @@
 
 func (f *fleet) arrive() {
 	f.count++
-	in := Transaction{ID: TransactionID(fmt.Sprint(f.count)), Profile: ProfileID(f.chance.Intn(3)), Account: NoAccount,
-		Key: Key(fmt.Sprintf("%x", f.chance.Intn(60))), Limit: f.now + second/2 + Micros(f.chance.Int63n(int64(second)))}
+	in := Transaction{ID: TransactionID(fmt.Sprint(f.count)), Profile: ProfileID(f.chance.Intn(3)),
+		Account: NoAccount,
+		Key:     Key(fmt.Sprintf("%x", f.chance.Intn(60))),
+		Limit:   f.now + second/2 + Micros(f.chance.Int63n(int64(second)))}
 	switch f.chance.Intn(8) {
 	case 0:
 		in.Key = ""
@@ -337,7 +351,8 @@
 	body := make([]byte, f.chance.Intn(300))
 	f.chance.Read(body)
 	f.do(f.s.PeerSaid(f.now, SentryID(f.chance.Intn(9)-2), body))
-	f.do(f.s.Complained(f.now, Complaint{Profile: ProfileID(f.chance.Intn(9) - 2), Worker: f.id(f.chance.Intn(30))}))
+	f.do(f.s.Complained(f.now, Complaint{Profile: ProfileID(f.chance.Intn(9) - 2),
+		Worker: f.id(f.chance.Intn(30))}))
 	f.do(f.s.Tallied(f.now, Tally{Build: 99, Profile: 7}))
 	f.do(f.s.Probed(f.now, "nobody", Errored, -5, -1))
 	f.do(f.s.AskFailed(f.now))
