--- a/logic/logic.go
+++ b/logic/logic.go
@@ -307,7 +307,7 @@
 	roomLeast = 2.0 // open hand-offs to ready workers at the start; the least, to this sentry's share
 	roomMost  = 8.0
 	roomUp    = 0.1 // for each answer in time while the room is used, and for each failure
-	roomDown  = 0.4
+	roomDown  = 1.0
 )
 
 // learnRoom bounds the open hand-offs by how answers come, so that a fleet that is short of capacity serves
@@ -366,7 +366,7 @@
 
 // patience is how long a transaction is held: until an answer in time is no longer likely.
 func (s *Sentry) patience(t *transaction) Micros {
-	return min(t.arrived+s.profiles[t.Profile].DueTime/2, t.Limit-s.orders.Tick)
+	return min(t.arrived+s.profiles[t.Profile].DueTime/4, t.Limit-s.orders.Tick)
 }
 
 // release runs what was held again, when the workers or the news have changed.
