What was heard of a worker long ago counts less and less

Guards against any stale picture of a worker; it costs one hand-off every three seconds to a worker that stays slow.

--- a/logic/cases_test.go
+++ b/logic/cases_test.go
@@ -239,3 +239,22 @@
 		}
 	}
 }
+
+// A worker that was slow or full once is tried again when nothing was heard of it for a while.
+func TestOldNewsOfAWorkerFades(t *testing.T) {
+	b := newStand(2, 0)
+	b.serve(40, func(w WorkerID, _ int) (Ending, Micros) {
+		if w == "e0" {
+			return Answered, 450_000
+		}
+		return Answered, 50_000
+	})
+	tries := map[WorkerID]int{}
+	b.serve(400, func(w WorkerID, _ int) (Ending, Micros) {
+		tries[w]++
+		return Answered, 50_000
+	})
+	if tries["e0"] < 100 {
+		t.Errorf("a recovered worker got %d of 400", tries["e0"])
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,8 +48,9 @@
 	faultFade    = 0.25
 	othersFade   = 0.4
 	shunAbove    = 0.5
-	slowPace     = 1.5 // a pace up to it is taken for chance
-	coldPart     = 0.5 // of the stated multiple, what a cold worker may get
+	freshFor     = 3 * second // for how long what is heard of a worker counts
+	slowPace     = 1.5        // a pace up to it is taken for chance
+	coldPart     = 0.5        // of the stated multiple, what a cold worker may get
 )
 
 type handOff struct {
@@ -120,12 +121,12 @@
 	others  []float64  // reported load beyond these
 	pace    []float64  // time of answers to what is expected
 	faults  []float64  // smoothed share of failures
+	heard   []Micros   // last end of a hand-off
 	shunned []Micros   // not before then
 	revived []Micros   // answered then, after it had been down
 	strikes []int      // failed tries to reach it since it last answered
 	recent  [][]Micros // hand-offs while cold
 	misses  []float64  // what the judge counted against it in this trial
-	fit     []int      // scratch of pick
 
 	// The list.
 	askAt, askWait Micros
@@ -135,15 +136,13 @@
 	toldAt            Micros
 	base              BuildID
 	sentBack          map[BuildID]bool
-	reach             int // slots under it go to the trial
+	reach, judged     int // slots under reach go to the trial, outcomes judged
 	met               map[Key]BuildID
 	again             map[Key]int // given up, and not come again yet
 	taken             [][]Micros  // transactions, by profile where exposure counts so, else all in the first
 	exposed           [][]Micros  // hand-offs to the trial, likewise
-	judged            int
-	baseSeen          Micros // last outcome of the earlier build
-	allSum            float64
-	calmLoad          float64 // load before the trial
+	baseSeen          Micros      // last outcome of the earlier build
+	allSum, calmLoad  float64     // excess of slow ones everywhere, and load before the trial
 	voted             Vote
 	blamed            bool
 	votedAt, voteNext Micros
@@ -433,8 +432,10 @@
 
 // score is the load of a worker for its size: the lowest wins.
 func (s *Sentry) score(w int) float64 {
-	load := (float64(s.inHand[w]) + s.others[w] + 1) / (s.workers[w].Size * s.warmth(w))
-	load *= max(1, s.pace[w]/slowPace)
+	// What was heard long ago counts less and less: else a worker that was slow or full once is never tried again.
+	fresh := max(0, 1-float64(s.now-s.heard[w])/float64(freshFor))
+	load := (float64(s.inHand[w]) + fresh*s.others[w] + 1) / (s.workers[w].Size * s.warmth(w))
+	load *= 1 + fresh*max(0, s.pace[w]/slowPace-1)
 	if s.workers[w].Zone != s.orders.Zone {
 		load *= 1 + 8*s.orders.CrossPrice
 	}
@@ -478,13 +479,13 @@
 
 // fitFor lists the workers of a build that may get this transaction now.
 func (s *Sentry) fitFor(t *transaction, b BuildID) []int {
-	s.fit = s.fit[:0]
+	var fit []int
 	for w := range s.workers {
 		if s.ready(w, b, t) {
-			s.fit = append(s.fit, w)
+			fit = append(fit, w)
 		}
 	}
-	return s.fit
+	return fit
 }
 
 func (s *Sentry) handOff(t *transaction) bool {
@@ -601,6 +602,7 @@
 // learnWorker books what an ended hand-off says of its worker.
 func (s *Sentry) learnWorker(t *transaction, h *handOff) {
 	w, p := h.worker, &s.profiles[t.Profile]
+	s.heard[w] = s.now
 	if h.end.Held >= 0 {
 		s.others[w] += othersFade * (max(0, h.end.Held-float64(s.inHand[w])) - s.others[w])
 	}
@@ -656,6 +658,7 @@
 				s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
 				s.strikes, s.recent = append(s.strikes, 0), append(s.recent, nil)
 				s.misses = append(s.misses, 0)
+				s.heard = append(s.heard, 0)
 			}
 			if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
 				s.others[w], s.pace[w], s.faults[w], s.misses[w] = 0, 1, 0, 0
@@ -783,10 +786,7 @@
 }
 
 func (s *Sentry) counter(t *transaction) int {
-	if s.orders.ExposureByProfile {
-		return int(t.Profile)
-	}
-	return 0
+	return int(t.Profile) * int(one(s.orders.ExposureByProfile))
 }
 
 // mayExpose is the window counter: one more hand-off to the trial keeps within free + cap x taken.
