What was heard of a worker long ago counts less and less

Guards against any stale picture of a worker; it costs a hand-off every three seconds to a worker that stays slow.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -293,10 +293,7 @@
 	s.taken[c] = trim(append(s.taken[c], s.now), s.now-s.orders.ExposureWindow)
 	s.spare = min(s.spare+spareShare, spareMost)
 	s.open[t.ID] = t
-	if float64(s.busy) >= s.room {
-		return s.holdBack(t)
-	}
-	return true
+	return float64(s.busy) < s.room || s.holdBack(t)
 }
 
 const (
@@ -430,10 +427,12 @@
 	return true
 }
 
+// fresh is how much of what is known of a worker still counts: one that was slow or full once is tried again.
+func (s *Sentry) fresh(w int) float64 { return max(0, 1-float64(s.now-s.heard[w])/float64(freshFor)) }
+
 // score is the load of a worker for its size: the lowest wins.
 func (s *Sentry) score(w int) float64 {
-	// What was heard long ago counts less and less: else a worker that was slow or full once is never tried again.
-	fresh := max(0, 1-float64(s.now-s.heard[w])/float64(freshFor))
+	fresh := s.fresh(w)
 	load := (float64(s.inHand[w]) + fresh*s.others[w] + 1) / (s.workers[w].Size * s.warmth(w))
 	load *= 1 + fresh*max(0, s.pace[w]/slowPace-1)
 	if s.workers[w].Zone != s.orders.Zone {
@@ -602,6 +601,7 @@
 // learnWorker books what an ended hand-off says of its worker.
 func (s *Sentry) learnWorker(t *transaction, h *handOff) {
 	w, p := h.worker, &s.profiles[t.Profile]
+	renew := max(paceFade, (1-s.fresh(w))/2)
 	s.heard[w] = s.now
 	if h.end.Held >= 0 {
 		s.others[w] += othersFade * (max(0, h.end.Held-float64(s.inHand[w])) - s.others[w])
@@ -612,7 +612,7 @@
 	s.faults[w] += faultFade * (one(h.end.Ending != Answered) - s.faults[w])
 	if h.end.Ending == Answered || h.end.Ending == TimedOut {
 		ratio := min(10, float64(h.end.Took)/p.expected)
-		s.pace[w] += paceFade * (ratio - s.pace[w])
+		s.pace[w] += renew * (ratio - s.pace[w])
 	}
 	switch h.end.Ending {
 	case Unconnected, Broken:
