--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,7 @@
 	errorWeight  = 1.5  // three errors close together reach voteBackAt
 	barShare     = 0.2  // share of the earlier build's answers that take longer than the bar
 	slowTimes    = 2.5  // a hand-off this many bars long counts as late
-	lateSlack    = 0.1  // excess of late ones over twice that rate that is let pass
+	lateSlack    = 0.15 // excess of late ones over twice that rate that is let pass
 	rateFade     = 0.02
 	paceFade     = 0.12
 	faultFade    = 0.25
@@ -763,9 +763,8 @@
 		return
 	}
 	trialCan, fleet := s.capacity(trial), s.capacity(s.base)
-	if !s.orders.BesideEarlier || fleet == 0 {
-		fleet += trialCan
-	}
+	// Where the earlier workers all stay, they have little to do: the trial's would carry far more than they.
+	fleet += trialCan * (1 - one(s.orders.BesideEarlier && fleet > 0)*2/3)
 	share := 0.0
 	if trialCan > 0 {
 		strain := 0.0
