--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 	calmTimes    = 1.6  // a hand-off this many bars of before the trial long counts as late for all
 	calmSlack    = 0.2  // excess of these that is let pass
 	calmPace     = 1.2  // pace of the quicker workers from which all are slower
-	allPerSecond = 10.0 // outcomes of a second that count in full there
+	allPerSecond = 20.0 // outcomes of a second that count in full there
 	loadSlows    = 2.5  // how much the pace rises with load for no fault of a build
 	errorSlack   = 0.01 // excess of errors that is let pass
 	errorWeight  = 1.5  // three errors close together reach voteBackAt
@@ -711,6 +711,7 @@
 
 func (s *Sentry) newTrial() {
 	s.reach, s.judged, s.allSum, s.blamed, s.calmLoad = 0, 0, 0, false, s.load()
+	s.calmLoad += 1e9 * one(s.calmLoad == 0) // not known: then no load explains anything
 	s.voted, s.votedAt = Vote{}, 0
 	for i := range s.profiles {
 		p := &s.profiles[i]
@@ -870,7 +871,7 @@
 
 func (s *Sentry) judgeLate(id ProfileID, late bool, weight float64) {
 	own, all := s.rows(id)
-	by := one(late)*weight - 2*own.slow - lateSlack
+	by := one(late)*weight - 2*own.slow - lateSlack*s.byLoad()
 	own.lateSum, all.lateSum = max(0, own.lateSum+by), max(0, all.lateSum+by)
 }
 
@@ -881,15 +882,17 @@
 // makes many late at once. It can harm a build when the whole fleet slows down for a reason that no load
 // shows.
 func (s *Sentry) judgeAll(p *profileRow, took float64) {
-	if !s.watched() || p.calm == 0 || s.calmLoad == 0 {
+	if !s.watched() || p.calm == 0 {
 		return
 	}
-	byLoad := 1 + loadSlows*max(0, s.load()/s.calmLoad-1)
-	late := took > min(calmTimes*p.calm, float64(p.DueTime)) && s.quickPace() > calmPace*byLoad
+	late := took > min(calmTimes*p.calm, float64(p.DueTime)) && s.quickPace() > calmPace*s.byLoad()
 	perSecond := float64(len(s.arrivals)) * float64(second) / float64(s.span)
 	s.allSum = max(0, s.allSum+(one(late)-calmSlack)*allPerSecond/max(perSecond, allPerSecond))
 }
 
+// byLoad is how much slower than before the trial the fleet may be for its load alone.
+func (s *Sentry) byLoad() float64 { return 1 + loadSlows*max(0, s.load()/s.calmLoad-1) }
+
 // watched says whether the newest build is on trial or freshly released.
 func (s *Sentry) watched() bool {
 	return s.judged > 0 && (s.news.Phase == OnTrial || s.now-s.toldAt <= 2*noAlarmTime)
