--- a/logic/cases_test.go
+++ b/logic/cases_test.go
@@ -258,3 +258,21 @@
 		t.Errorf("a recovered worker got %d of 400", tries["e0"])
 	}
 }
+
+// Under the bound a fleet that a build slows shows in what is deferred unsent, not in the times of the rest.
+func TestDeferralsCountWhereAllAreJudged(t *testing.T) {
+	b := newStand(8, 8)
+	b.serve(40, func(WorkerID, int) (Ending, Micros) { return Answered, 50_000 })
+	for w := range b.s.pace {
+		b.s.pace[w] = 3
+	}
+	for n := range 300 {
+		b.now += 20_000
+		in := Transaction{ID: TransactionID(fmt.Sprint("d", n)), Account: NoAccount, Limit: b.now + 2*second}
+		b.see(b.s.Arrive(b.now, in))
+		b.see(b.s.Wake(b.now))
+	}
+	if !b.back {
+		t.Error("not voted back though nearly all is deferred and every worker is slow")
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,7 @@
 	barShare     = 0.2  // share of the earlier build's answers that take longer than the bar
 	slowTimes    = 2.5  // a hand-off this many bars long counts as late
 	lateSlack    = 0.15 // excess of late ones over twice that rate that is let pass
+	lateWeight   = 0.6  // times are noisy: seven late ones close together reach voteBackAt
 	rateFade     = 0.02
 	paceFade     = 0.12
 	faultFade    = 0.25
@@ -401,6 +402,9 @@
 	}
 	s.out.Rulings = append(s.out.Rulings, r)
 	s.again[t.Key]++
+	if len(t.sends) == 0 { // under the bound, a fleet that slows shows in what is not handed off
+		s.judgeAll(p, float64(p.OuterLimit))
+	}
 	t.closed = true
 	s.forget(t)
 	return false
@@ -494,13 +498,10 @@
 	if len(t.sends) > 0 {
 		s.spare--
 	}
-	t.held = false
 	t.sends = append(t.sends, handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true})
 	s.inHand[w]++
 	s.busy++
-	if s.warmth(w) < 1 {
-		s.recent[w] = append(s.recent[w], s.now)
-	}
+	s.recent[w] = append(s.recent[w], s.now)
 	if trial, onTrial := s.trial(); onTrial && s.workers[w].Build == trial {
 		c := s.counter(t)
 		s.exposed[c] = append(s.exposed[c], s.now)
@@ -645,9 +646,7 @@
 			}
 		}
 		for _, in := range list {
-			if in.Size <= 0 {
-				in.Size = 1
-			}
+			in.Size = max(in.Size, 1e-3)
 			w, known := s.index[in.ID]
 			if !known {
 				w = len(s.workers)
@@ -871,7 +870,7 @@
 
 func (s *Sentry) judgeLate(id ProfileID, late bool, weight float64) {
 	own, all := s.rows(id)
-	by := one(late)*weight - 2*own.slow - lateSlack*s.byLoad()
+	by := lateWeight * (one(late)*weight - 2*own.slow - lateSlack*s.byLoad())
 	own.lateSum, all.lateSum = max(0, own.lateSum+by), max(0, all.lateSum+by)
 }
 
