--- a/logic/logic.go
+++ b/logic/logic.go
@@ -870,7 +870,8 @@
 
 func (s *Sentry) judgeLate(id ProfileID, late bool, weight float64) {
 	own, all := s.rows(id)
-	by := lateWeight * (one(late)*weight - 2*own.slow - lateSlack*s.byLoad())
+	load := float64(len(s.arrivals)*s.reach) / max(100*s.capacity(s.news.Build), 1e-9) // of the trial's workers
+	by := lateWeight * (one(late)*weight - 2*own.slow - lateSlack*s.byLoad(max(load, s.load())))
 	own.lateSum, all.lateSum = max(0, own.lateSum+by), max(0, all.lateSum+by)
 }
 
@@ -884,13 +885,13 @@
 	if !s.watched() || p.calm == 0 {
 		return
 	}
-	late := took > min(calmTimes*p.calm, float64(p.DueTime)) && s.quickPace() > calmPace*s.byLoad()
+	late := took > min(calmTimes*p.calm, float64(p.DueTime)) && s.quickPace() > calmPace*s.byLoad(s.load())
 	perSecond := float64(len(s.arrivals)) * float64(second) / float64(s.span)
 	s.allSum = max(0, s.allSum+(one(late)-calmSlack)*allPerSecond/max(perSecond, allPerSecond))
 }
 
-// byLoad is how much slower than before the trial the fleet may be for its load alone.
-func (s *Sentry) byLoad() float64 { return 1 + loadSlows*max(0, s.load()/s.calmLoad-1) }
+// byLoad is how much slower than before the trial workers may be for this load alone.
+func (s *Sentry) byLoad(load float64) float64 { return 1 + loadSlows*max(0, load/s.calmLoad-1) }
 
 // watched says whether the newest build is on trial or freshly released.
 func (s *Sentry) watched() bool {
