--- a/logic/logic.go
+++ b/logic/logic.go
@@ -402,7 +402,7 @@
 	}
 	s.out.Rulings = append(s.out.Rulings, r)
 	s.again[t.Key]++
-	if len(t.sends) == 0 { // under the bound, a fleet that slows shows in what is not handed off
+	if len(t.sends) == 0 && s.news.Phase == OnTrial { // under the bound, slowness shows in these
 		s.judgeAll(p, float64(p.OuterLimit))
 	}
 	t.closed = true
