--- /dev/null
+++ b/internal/benchwire/wire_test.go
@@ -0,0 +1,69 @@
+package benchwire
+
+import (
+	"bufio"
+	"bytes"
+	"strings"
+	"testing"
+)
+
+const start = `["mark",5000000123]
+["new_instance",3,18446744073709551615,{"azs":["a"],"zone":"a","replicas_of_me":2,"unknown":{"x":1},
+"categories":[{"name":"read","aim_ns":500000000,"deadline_ns":2000000000,"effect":"retryable","value":1}],
+"limits":{"max_attempts":3},"rules":{"warm_up_ns":4000000000},"registry_mode":"pushed"}]
+["census",0,[[0,null,1,"a","std",41,"live","10.0.0.1:1"]]]
+["endpoints",3,"remembered",1,0]
+["promotion",3,1,0,41,0,"GOOD",0,2]
+`
+
+func serve(t *testing.T, in string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	joined := strings.ReplaceAll(strings.ReplaceAll(in, ",\n\"", ",\""), "},\n", "},")
+	err := Serve(strings.NewReader(joined), &out)
+	return out.String(), err
+}
+
+func TestServe(t *testing.T) {
+	query := `["query",3,"t/1","read",null,null,6000000123,null,null]` + "\n"
+	turn := `["your_turn"]` + "\n"
+	cases := []struct{ name, in, want, fault string }{
+		{"an empty batch", `["mark",1]` + "\n" + turn, `["finished"]`, ""},
+		{"a query", start + query + turn, `["route",3,"t/1","10.0.0.1:1",6000000123]`, ""},
+		{"a list number used again", start + `["census",0,[[0,null,1,"a","std",41,"live","10.0.0.2:1"]]]` + "\n" +
+			`["endpoints",3,"all",2,0]` + "\n" + query + turn, `["route",3,"t/1","10.0.0.2:1",6000000123]`, ""},
+		{"an unknown event and a late left", start + `["new_word",3,"x"]` + "\n" + `["left",3,"t/9"]` + "\n" + turn,
+			`["finished"]`, ""},
+		{"a restart within the batch", start + `["exit",3]` + "\n" + start + query + turn, `["route",3,"t/1"`, ""},
+		{"no instance", query + turn, "", "no instance 3"},
+		{"an unknown class", start + `["query",3,"t/1","write",null,null,1,null,null]` + "\n", "", `unknown class "write"`},
+		{"no JSON", "nonsense\n", "", "line 1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			out, err := serve(t, c.in)
+			switch {
+			case c.fault != "" && (err == nil || !strings.Contains(err.Error(), c.fault)):
+				t.Errorf("fault %v, want %q", err, c.fault)
+			case c.fault == "" && err != nil:
+				t.Errorf("fault %v", err)
+			case !strings.Contains(out, c.want):
+				t.Errorf("no %s in\n%s", c.want, out)
+			}
+		})
+	}
+}
+
+// A panic of the module is told with the instance's number, and is not swallowed: a sentry that is not there panics.
+func TestPanicIsTold(t *testing.T) {
+	var out bytes.Buffer
+	l := &link{out: bufio.NewWriter(&out), instances: map[int64]*instance{7: {number: 7, names: &names{heldAt: -1}}}}
+	for _, line := range []string{`["left",7,"t/1"]`, `["your_turn"]`} {
+		if err := l.line([]byte(line)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !strings.HasPrefix(out.String(), `["die",7,`) {
+		t.Errorf("got %s", out.String())
+	}
+}
