--- a/logic/cases_test.go
+++ b/logic/cases_test.go
@@ -276,3 +276,18 @@
 		t.Error("not voted back though nearly all is deferred and every worker is slow")
 	}
 }
+
+// A few workers of many that begin to fail fast, late in the trial, are not held against the build.
+func TestFewFailingWorkersOfMany(t *testing.T) {
+	b := newStand(4, 16)
+	b.serve(800, func(WorkerID, int) (Ending, Micros) { return Answered, 50_000 })
+	b.serve(400, func(w WorkerID, n int) (Ending, Micros) {
+		if (w == "t1" || w == "t2" || w == "t3") && n%4 > 0 {
+			return Errored, 5_000
+		}
+		return Answered, 50_000
+	})
+	if b.back {
+		t.Error("voted back for three workers of sixteen")
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,6 +40,7 @@
 	loadSlows    = 2.5  // how much the pace rises with load for no fault of a build
 	errorSlack   = 0.01 // excess of errors that is let pass
 	errorWeight  = 1.5  // three errors close together reach voteBackAt
+	manyWorkers  = 8.0  // from so many of the trial on, a miss at any one says less
 	barShare     = 0.2  // share of the earlier build's answers that take longer than the bar
 	slowTimes    = 2.5  // a hand-off this many bars long counts as late
 	lateSlack    = 0.15 // excess of late ones over twice that rate that is let pass
@@ -301,10 +302,9 @@
 	spareShare = 0.1 // further hand-offs and copies, to transactions taken
 	spareMost  = 10
 
-	roomLeast = 2.0 // open hand-offs to ready workers at the start; the least, to this sentry's share
-	roomMost  = 8.0
-	roomUp    = 0.1 // for each answer in time while the room is used, and for each failure
-	roomDown  = 1.0
+	roomLeast        = 2.0 // open hand-offs to ready workers at the start; the least, to this sentry's share
+	roomMost         = 8.0
+	roomUp, roomDown = 0.1, 1.0 // for each answer in time while the room is used, and for each failure
 )
 
 // learnRoom bounds the open hand-offs by how answers come, so that a fleet that is short of capacity serves
@@ -931,7 +931,7 @@
 	}
 	even := min(1, (total+n)/(max(1, n)*(s.misses[w]+1)))
 	s.misses[w]++
-	return even * even
+	return even * even * min(1, manyWorkers/max(1, n))
 }
 
 func (s *Sentry) sums() []float64 {
