Tidying after a reread: twins called once, a dead variable gone

A worker's last start is reckoned in one place, the bound takes the worker's index that its caller already has instead of looking it up by name, the time-out that could no longer differ from the transaction's limit is no variable, and the adapter test writes its batch as the wire has it instead of mending it by replacement.

--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -8,22 +8,14 @@
 )
 
 const start = `["mark",5000000123]
-["new_instance",3,18446744073709551615,{"azs":["a"],"zone":"a","replicas_of_me":2,"unknown":{"x":1},
-"categories":[{"name":"read","aim_ns":500000000,"deadline_ns":2000000000,"effect":"retryable","value":1}],
-"limits":{"max_attempts":3},"rules":{"warm_up_ns":4000000000},"registry_mode":"pushed"}]
+["new_instance",3,18446744073709551615,{"azs":["a"],"zone":"a","replicas_of_me":2,"unknown":{"x":1},` +
+	`"categories":[{"name":"read","aim_ns":500000000,"deadline_ns":2000000000,"effect":"retryable","value":1}],` +
+	`"limits":{"max_attempts":3},"rules":{"warm_up_ns":4000000000},"registry_mode":"pushed"}]
 ["census",0,[[0,null,1,"a","std",41,"live","10.0.0.1:1"]]]
 ["endpoints",3,"remembered",1,0]
 ["promotion",3,1,0,41,0,"GOOD",0,2]
 `
 
-func serve(t *testing.T, in string) (string, error) {
-	t.Helper()
-	var out bytes.Buffer
-	joined := strings.ReplaceAll(strings.ReplaceAll(in, ",\n\"", ",\""), "},\n", "},")
-	err := Serve(strings.NewReader(joined), &out)
-	return out.String(), err
-}
-
 func TestServe(t *testing.T) {
 	query := `["query",3,"t/1","read",null,null,6000000123,null,null]` + "\n"
 	turn := `["your_turn"]` + "\n"
@@ -41,7 +33,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			out, err := serve(t, c.in)
+			var buffer bytes.Buffer
+			err := Serve(strings.NewReader(c.in), &buffer)
+			out := buffer.String()
 			switch {
 			case c.fault != "" && (err == nil || !strings.Contains(err.Error(), c.fault)):
 				t.Errorf("fault %v, want %q", err, c.fault)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -310,10 +310,10 @@
 // learnRoom bounds the open hand-offs by how answers come, so that a fleet that is short of capacity serves
 // what it can in time instead of everything late. It guards against overload of any cause, bursts and storms
 // of repeats included; it can do harm where failures are quick and not due to load, hence its floor.
-func (s *Sentry) learnRoom(p *profileRow, e HandOffEnd) {
+func (s *Sentry) learnRoom(p *profileRow, w int, e HandOffEnd) {
 	ready := float64(max(1, s.readyCount(s.base)))
 	switch {
-	case s.shunned[s.index[e.Worker]] > s.now:
+	case s.shunned[w] > s.now:
 	case e.Ending == TurnedAway || e.Ending == TimedOut || e.Ending == Answered && e.Took > p.DueTime:
 		s.room -= roomDown
 	case e.Ending == Answered && float64(s.busy) >= 0.7*s.room:
@@ -493,7 +493,6 @@
 
 func (s *Sentry) handOff(t *transaction) bool {
 	p, w := &s.profiles[t.Profile], t.worker
-	until := t.Limit
 	last := len(t.sends)+1 >= s.orders.MostHandOffs || p.Repeat == Irreversible
 	if len(t.sends) > 0 {
 		s.spare--
@@ -506,7 +505,7 @@
 		c := s.counter(t)
 		s.exposed[c] = append(s.exposed[c], s.now)
 	}
-	r := Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: until}
+	r := Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: t.Limit}
 	s.out.Rulings = append(s.out.Rulings, r)
 	if s.orders.MayCopy && p.Repeat != Irreversible && !last && len(t.sends) == 1 {
 		s.alarm(s.now+p.DueTime/3, t)
@@ -538,7 +537,7 @@
 	h.mayRun = h.end.Ending != TurnedAway && h.end.Ending != Unconnected && h.end.Ending != Unsent
 	s.inHand[h.worker] = max(0, s.inHand[h.worker]-1)
 	s.busy--
-	s.learnRoom(&s.profiles[t.Profile], h.end)
+	s.learnRoom(&s.profiles[t.Profile], h.worker, h.end)
 }
 
 // settle closes the transaction or sends it again.
@@ -561,9 +560,11 @@
 
 // ---- The workers ----
 
+func (s *Sentry) start(w int) Micros { return max(s.workers[w].Started, s.revived[w]) }
+
 // warmth is the least part of its work that a worker can do by now.
 func (s *Sentry) warmth(w int) float64 {
-	start := max(s.workers[w].Started, s.revived[w])
+	start := s.start(w)
 	if start <= 0 || s.orders.WarmUp <= 0 {
 		return 1
 	}
@@ -801,7 +802,7 @@
 // learnBuild books an ended hand-off with the builds: what the trial fails beyond the earlier build's rate
 // adds up.
 func (s *Sentry) learnBuild(t *transaction, h *handOff) {
-	p, _ := s.rows(t.Profile)
+	p := &s.profiles[t.Profile]
 	stands := s.news.Valid && (s.news.Phase == OnTrial || s.news.Phase == Released)
 	newest := stands && h.build == s.news.Build
 	// The list may have changed its mind on the worker's build meanwhile: either counts as met.
@@ -815,7 +816,7 @@
 	if !newest && h.build != s.base {
 		return
 	}
-	age := s.now - max(s.workers[h.worker].Started, s.revived[h.worker])
+	age := s.now - s.start(h.worker)
 	warm := !failed && age >= max(settleTime, s.orders.WarmUp)
 	late := !failed && (h.end.Ending == TimedOut || took > bar)
 	weight := s.weigh(h.worker, failed || late)
