A worker that still answers some is not shunned; quick breaks cost no budget

Cause: under one-sided trouble a sentry shunned the many workers that it reached only now and then, and squeezed its traffic into the rest. A worker whose tries break at once but that answered lately stays in use, its failures weighing on its load; the last hand-off of a transaction goes where little fails. Workers count as started anew only after three strikes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -49,6 +49,7 @@
 	paceFade      = 0.12
 	faultFade     = 0.25
 	othersFade    = 0.4
+	deadStrikes   = 3 // failed tries to reach a worker, seconds apart, after which it has been down
 	shunAbove     = 0.5
 	freshFor      = 3 * second // for how long what is heard of a worker counts
 	slowPace      = 1.5        // a pace up to it is taken for chance
@@ -163,6 +164,7 @@
 			case t.held:
 				s.release()
 			case len(t.sends) == 1 && s.spare >= 1 && s.mayRepeat(t): // suspiciously long: a second copy
+				s.spare--
 				s.run(t, 1)
 			}
 		}
@@ -322,7 +324,11 @@
 		if !s.ready(w, b, t) {
 			continue
 		}
-		if load := s.score(w); best < 0 || load < least {
+		load := s.score(w) * (1 + s.faults[w])
+		if len(t.sends)+1 >= s.orders.MostHandOffs { // the last one wants a worker that does not fail
+			load *= 1 + 20*s.faults[w]
+		}
+		if best < 0 || load < least {
 			best, least = w, load
 		}
 	}
@@ -409,9 +415,6 @@
 func (s *Sentry) handOff(t *transaction) bool {
 	p, w := &s.profiles[t.Profile], t.worker
 	last := len(t.sends)+1 >= s.orders.MostHandOffs || p.Repeat == Irreversible
-	if len(t.sends) > 0 {
-		s.spare--
-	}
 	t.sends = append(t.sends, handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true})
 	s.inHand[w]++
 	s.busy++
@@ -465,13 +468,19 @@
 		}
 		s.forget(t)
 	case t.out():
-	case !s.mayRepeat(t) || h.mayRun && s.spare < 1:
+	case !s.mayRepeat(t) || h.mayRun && !s.quick(h) && s.spare < 1:
 		s.giveUp(t)
 	default:
+		s.spare -= one(!s.quick(h))
 		s.run(t, 1)
 	}
 }
 
+// quick says that a hand-off was broken or refused at once, which costs next to nothing.
+func (s *Sentry) quick(h *handOff) bool {
+	return (h.end.Ending == Broken || h.end.Ending == Unconnected) && h.end.Took < s.orders.ConnectLimit/8
+}
+
 // ---- The workers ----
 
 // warmth is the least part of its work that a worker can do by now.
@@ -524,15 +533,16 @@
 		s.pace[w] += renew * (ratio - s.pace[w])
 	}
 	switch h.end.Ending {
-	case Unconnected, Broken:
-		if s.now >= s.shunned[w] { // tried again after growing waits, for the list tells seconds late
-			s.strikes[w] = min(s.strikes[w]+1, 4)
+	case Unconnected, Broken: // one that still answers some is not dead: only this sentry's way to it is bad
+		if s.now >= s.shunned[w] && !(s.quick(h) && s.now-s.answered[w] < freshFor) {
+			s.strikes[w] = min(s.strikes[w]+1, 4) // tried again after growing waits, for the list tells late
 			s.shunned[w] = s.now + second/2<<s.strikes[w]
 		}
 	case Answered:
-		if s.strikes[w] > 0 {
-			s.strikes[w], s.revived[w], s.shunned[w] = 0, s.now, 0
+		if s.strikes[w] >= deadStrikes {
+			s.revived[w] = s.now
 		}
+		s.strikes[w], s.shunned[w], s.answered[w] = 0, 0, s.now
 	default:
 		if s.faults[w] > shunAbove {
 			s.shunned[w] = s.now + second
--- a/logic/state.go
+++ b/logic/state.go
@@ -87,6 +87,7 @@
 	strikes   []int          // failed tries to reach it since it last answered
 	recent    [][]Micros     // hand-offs while cold
 	luckTill  []Micros
+	answered  []Micros  // last
 	luck      []float64 // what chance adds to their bound
 	misses    []float64 // what the judge counted against it in this trial
 
@@ -191,6 +192,7 @@
 	s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
 	s.strikes, s.recent = append(s.strikes, 0), append(s.recent, nil)
 	s.misses, s.luck = append(s.misses, 0), append(s.luck, 0)
+	s.answered = append(s.answered, 0)
 	s.heard, s.luckTill = append(s.heard, 0), append(s.luckTill, 0)
 	s.rank = append(s.rank, rank)
 	at, _ := slices.BinarySearchFunc(s.order, rank, func(v int, r float64) int { return cmp.Compare(s.rank[v], r) })
