--- a/internal/benchwire/facts.go
+++ b/internal/benchwire/facts.go
@@ -66,6 +66,7 @@
 		Limits        struct {
 			Cancel          bool  `json:"cancel"`
 			ConnectTimeout  int64 `json:"connect_timeout_ns"`
+			IdleCloseNs     int64 `json:"idle_close_ns"`
 			MaxAttempts     int   `json:"max_attempts"`
 			MaxRetryAfterNs int64 `json:"max_retry_after_ns"`
 			MayProbe        bool  `json:"may_probe"`
@@ -118,7 +119,7 @@
 		MayProbe: f.Limits.MayProbe, MayCancel: f.Limits.Cancel, MayCopy: f.Limits.ParallelTries,
 		MayMessage: f.Limits.Peers, MayNameReturn: f.Limits.RetryAfter,
 		MostHandOffs: f.Limits.MaxAttempts, MostReturn: us(f.Limits.MaxRetryAfterNs),
-		ConnectLimit: us(f.Limits.ConnectTimeout), Tick: us(f.GranularityNs),
+		ConnectLimit: us(f.Limits.ConnectTimeout), IdleClose: us(f.Limits.IdleCloseNs), Tick: us(f.GranularityNs),
 		AnswerGrace: us(f.Rules.GraceToAnswerNs), DrainGrace: us(f.Rules.DrainGraceNs),
 		ColdFrom: f.Rules.ColdFrom, WarmUp: us(f.Rules.WarmUpNs),
 		FallMultiple: f.Rules.FallMultiple, FallSpan: us(f.Rules.FallNs),
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -55,6 +55,7 @@
 	slowPace      = 1.5        // a pace up to it is taken for chance
 	fewWorkers    = 2          // a working set starts with
 	farther       = 1.0        // a worker of another zone joins a working set so much later
+	lookAt        = 4          // of the set, to this sentry's share of all: more would run after old news together
 	idle          = 0.5        // up to this load workers are alike, and chance decides
 	freeCold      = 6.0        // hand-offs to a cold worker that few sentries may always send
 	usualFade     = 0.02       // for each quarter second
@@ -320,7 +321,14 @@
 
 func (s *Sentry) least(of []int, t *transaction, b BuildID) int {
 	best, least := -1, 0.0
-	for _, w := range of {
+	look := max(lookAt, lookAt*len(of)/s.orders.Sentries)
+	for i, w := range of {
+		if look < len(of) {
+			w = of[s.chance.Intn(len(of))]
+		}
+		if i >= look && best >= 0 {
+			break
+		}
 		if !s.ready(w, b, t) {
 			continue
 		}
@@ -415,7 +423,8 @@
 func (s *Sentry) handOff(t *transaction) bool {
 	p, w := &s.profiles[t.Profile], t.worker
 	last := len(t.sends)+1 >= s.orders.MostHandOffs || p.Repeat == Irreversible
-	t.sends = append(t.sends, handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true})
+	h := handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true, opens: !s.connected(w)}
+	t.sends = append(t.sends, h)
 	s.inHand[w]++
 	s.busy++
 	s.recent[w] = append(s.recent[w], s.now)
@@ -528,7 +537,7 @@
 		return
 	}
 	s.faults[w] += faultFade * (one(h.end.Ending != Answered) - s.faults[w])
-	if h.end.Ending == Answered || h.end.Ending == TimedOut {
+	if h.end.Ending == Answered && !h.opens || h.end.Ending == TimedOut {
 		ratio := min(10, float64(h.end.Took)/p.expected)
 		s.pace[w] += renew * (ratio - s.pace[w])
 	}
@@ -569,12 +578,7 @@
 			if !known {
 				w = s.addWorker(in, s.chance.ExpFloat64()/in.Size*(1+farther*one(in.Zone != s.orders.Zone)))
 			}
-			if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
-				s.missed -= s.misses[w]
-				s.others[w], s.pace[w], s.faults[w], s.misses[w] = 0, 1, 0, 0
-				s.shunned[w], s.revived[w], s.strikes[w] = 0, 0, 0
-			}
-			s.workers[w] = in
+			s.renew(w, in)
 		}
 		s.lookAround()
 	})
@@ -615,26 +619,16 @@
 }
 
 func (s *Sentry) newTrial() {
-	s.reach, s.judged, s.allSum, s.blamed, s.calmLoad = 0, 0, 0, false, 0
+	s.calmLoad = 0
 	if len(s.arrivals) >= leastSample {
 		s.calmLoad = s.load()
 	}
-	s.voted, s.votedAt = Vote{}, 0
+	s.clearTrial()
 	for i := range s.profiles {
-		p := &s.profiles[i]
-		p.sum, p.calm = [kinds]float64{}, 0
-		if p.seen >= max(5, 10*leastSample/s.orders.Sentries) {
+		if p := &s.profiles[i]; p.seen >= max(5, 10*leastSample/s.orders.Sentries) {
 			p.calm = p.bar
 		}
 	}
-	for i := range s.exposed {
-		s.exposed[i] = nil
-	}
-	clear(s.misses)
-	clear(s.ownMisses)
-	s.missed = 0
-	s.mine, s.sent = make([]uint64, place(ProfileID(len(s.profiles)-1), errs, false)+2), nil
-	s.reports, s.advices = map[SentryID]report{}, map[SentryID]advice{}
 }
 
 // lookAround finds the earlier build and how far the trial reaches, after news or a list.
@@ -712,7 +706,7 @@
 		return
 	}
 	age := s.now - s.start(h.worker)
-	warm := !failed && age >= max(settleTime, s.orders.WarmUp)
+	warm := !failed && !h.opens && age >= max(settleTime, s.orders.WarmUp)
 	slow := !failed && (h.end.Ending == TimedOut || took > bar)
 	miss := newest && (failed || slow)
 	weight := s.weigh(h.worker, miss)
@@ -905,8 +899,9 @@
 		switch {
 		case !known || len(values) == 0 || !s.news.Valid || BuildID(values[0]) != s.news.Build:
 		case what == asAdvice && len(values) == 3 && values[2] <= uint64(GoBack):
-			vote := Vote{Build: s.news.Build, Stage: int(values[1]), Verdict: Verdict(values[2])}
-			s.advices[from] = advice{vote, s.now}
+			if v := Verdict(values[2]); v >= s.advice || s.now-s.advisedAt >= adviceFor {
+				s.advice, s.advisedAt, s.advisedOn = v, s.now, int(values[1]) // the strongest heard lately
+			}
 		case what == asCounts && len(values) >= len(s.mine)+2 && s.collects():
 			s.gather(from, report{values[1], values[2 : len(s.mine)+2], values[len(s.mine)+2:]})
 		}
@@ -915,14 +910,9 @@
 
 // gather judges what a peer has counted since its last report.
 func (s *Sentry) gather(from SentryID, r report) {
-	old := s.reports[from]
-	if old.run != r.run || old.counts == nil {
-		old.counts = make([]uint64, len(r.counts))
-	}
-	for i := range r.counts {
-		if r.counts[i] < old.counts[i] || i%2 == 1 && r.counts[i] > r.counts[i-1] {
-			return
-		}
+	old, holds := s.reports[from].before(r)
+	if !holds {
+		return
 	}
 	s.reports[from] = r
 	weight, misses := 1.0, s.newMisses(old, r) // the mean of these counts for all that failed or were late
@@ -931,30 +921,12 @@
 	}
 	for i := 0; i < len(r.counts); i += 2 {
 		n, hits := float64(r.counts[i]-old.counts[i]), float64(r.counts[i+1]-old.counts[i+1])
-		switch {
-		case n == 0:
-		case i == len(r.counts)-2:
+		if id, k, trial, all := placed(i, len(r.counts)); n > 0 && all {
 			s.sumAll(n, hits)
-		default:
-			trial := i/2%2 == 1
-			hits *= 1 - one(trial)*(1-weight)
-			s.judge(ProfileID(i/4/int(kinds)), kind(i/4%int(kinds)), trial, n, hits)
-		}
-	}
-}
-
-// advised is what most of the collectors heard lately would vote.
-func (s *Sentry) advised() (v Verdict, heard bool) {
-	var votes [GoBack + 1]int
-	for _, from := range s.collectorsAt() {
-		if a, known := s.advices[from]; known && s.now-a.at < adviceFor && a.vote.Stage == s.news.Stage {
-			votes[a.vote.Verdict]++
-			if !heard || votes[a.vote.Verdict] > votes[v] {
-				v, heard = a.vote.Verdict, true
-			}
+		} else if n > 0 {
+			s.judge(id, k, trial, n, hits*(1-one(trial)*(1-weight)))
 		}
 	}
-	return v, heard
 }
 
 // vote forms this sentry's verdict and sends it when it has changed or is about to lapse.
@@ -990,11 +962,8 @@
 	if !o.MayMessage || !s.collects() { // the more may vote by themselves, the less a chance sum may decide
 		limit += math.Log(1 + float64(o.Sentries)/float64(10*max(1, o.BackVotes)))
 	}
-	if v, heard := s.advised(); heard && !s.collects() {
-		if max(o.OnVotes, o.BackVotes, o.HoldVotes) <= collectors {
-			return NoVerdict // theirs are enough
-		}
-		return v
+	if s.advisedAt > s.now-adviceFor && s.advisedOn == s.news.Stage && !s.collects() {
+		return s.advice * Verdict(one(max(o.OnVotes, o.BackVotes, o.HoldVotes) > collectors)) // or theirs do
 	}
 	if s.blamed = s.blamed || sum > limit; s.blamed {
 		return GoBack
--- a/logic/port.go
+++ b/logic/port.go
@@ -81,6 +81,7 @@
 	MostHandOffs                                            int
 	MostReturn                                              Micros
 	ConnectLimit                                            Micros
+	IdleClose                                               Micros // a connection that nothing uses is closed after this, 0 if it stays
 	Tick                                                    Micros
 
 	// Figures of the rules.
--- a/logic/state.go
+++ b/logic/state.go
@@ -17,6 +17,7 @@
 	build  BuildID
 	sent   Micros
 	over   bool
+	opens  bool // a connection had to be opened
 	mayRun bool // not proven not to have run
 	end    HandOffEnd
 }
@@ -113,7 +114,9 @@
 	mine, sent          []uint64   // outcomes counted, and as last sent
 	life                uint64     // tells this run of the sentry from others
 	reports             map[SentryID]report
-	advices             map[SentryID]advice
+	advice              Verdict // of the collectors
+	advisedAt           Micros
+	advisedOn           int // stage
 	poolNext            Micros
 	allMeter, lateMeter meter
 	allSum, calmLoad    float64 // excess of slow ones everywhere, and load before the trial
@@ -136,6 +139,19 @@
 	counts, misses []uint64 // misses: short names of workers, each followed by how many
 }
 
+// before is what the report r adds to, nothing after a restart of its sentry, and whether r can follow it.
+func (old report) before(r report) (report, bool) {
+	if old.run != r.run || old.counts == nil {
+		old = report{counts: make([]uint64, len(r.counts))}
+	}
+	for i := range r.counts {
+		if r.counts[i] < old.counts[i] || i%2 == 1 && r.counts[i] > r.counts[i-1] {
+			return old, false
+		}
+	}
+	return old, true
+}
+
 // newMisses lists the worker of each miss that a report tells and the one before it did not.
 func (s *Sentry) newMisses(old, r report) (at []int) {
 	before := map[uint64]uint64{}
@@ -175,12 +191,6 @@
 	at   Micros
 }
 
-// advice is what one collector would vote.
-type advice struct {
-	vote Vote
-	at   Micros
-}
-
 // addWorker gives a new worker its row, and its place in this sentry's order.
 func (s *Sentry) addWorker(in Worker, rank float64) int {
 	w := len(s.workers)
@@ -338,3 +348,40 @@
 
 // load is what this sentry takes for what the fleet can do.
 func (s *Sentry) load() float64 { return float64(len(s.arrivals)) / max(s.fleetCan, 1e-9) }
+
+// placed is what is counted at a place, of so many.
+func placed(i, of int) (id ProfileID, k kind, trial, all bool) {
+	return ProfileID(i / 4 / int(kinds)), kind(i / 4 % int(kinds)), i/2%2 == 1, i == of-2
+}
+
+// renew takes over a line of the list, and forgets what was known of a worker that has started anew.
+func (s *Sentry) renew(w int, in Worker) {
+	if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
+		s.missed -= s.misses[w]
+		s.others[w], s.pace[w], s.faults[w], s.misses[w] = 0, 1, 0, 0
+		s.shunned[w], s.revived[w], s.strikes[w], s.answered[w] = 0, 0, 0, 0
+	}
+	s.workers[w] = in
+}
+
+// clearTrial forgets what was counted of the last trial.
+func (s *Sentry) clearTrial() {
+	s.reach, s.judged, s.allSum, s.blamed, s.missed = 0, 0, 0, false, 0
+	s.voted, s.votedAt = Vote{}, 0
+	for i := range s.profiles {
+		s.profiles[i].sum, s.profiles[i].calm = [kinds]float64{}, 0
+	}
+	for i := range s.exposed {
+		s.exposed[i] = nil
+	}
+	clear(s.met)
+	clear(s.misses)
+	clear(s.ownMisses)
+	s.mine, s.sent = make([]uint64, place(ProfileID(len(s.profiles)-1), errs, false)+2), nil
+	s.reports, s.advice, s.advisedAt = map[SentryID]report{}, NoVerdict, 0
+}
+
+// connected says whether a connection to a worker is likely open.
+func (s *Sentry) connected(w int) bool {
+	return s.answered[w] > 0 && (s.orders.IdleClose == 0 || s.now-s.answered[w] < s.orders.IdleClose)
+}
