--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,6 +52,7 @@
 	deadStrikes   = 3 // failed tries to reach a worker, seconds apart, after which it has been down
 	shunAbove     = 0.5
 	freshFor      = 3 * second // for how long what is heard of a worker counts
+	recallFor     = 20.0       // transactions for which a slow worker is remembered at the least
 	slowPace      = 1.5        // a pace up to it is taken for chance
 	fewWorkers    = 2          // a working set starts with
 	farther       = 1.0        // a worker of another zone joins a working set so much later
@@ -346,7 +347,7 @@
 // occupied says whether a worker of the set has as much to do as it should get.
 func (s *Sentry) occupied(w int) bool {
 	fresh := s.fresh(w)
-	return s.inHand[w] > 0 || s.shunned[w] > s.now || fresh*s.pace[w] > slowPace || fresh*s.others[w] > s.held
+	return s.inHand[w] > 0 || s.shunned[w] > s.now || s.recalled(w)*s.pace[w] > slowPace || fresh*s.others[w] > s.held
 }
 
 // survey brings the rosters up to date: after a change of the list, and each quarter second for the cold and
@@ -380,6 +381,13 @@
 // fresh is how much of what is known of a worker still counts: one that was slow or full once is tried again.
 func (s *Sentry) fresh(w int) float64 { return max(0, 1-float64(s.now-s.heard[w])/float64(freshFor)) }
 
+// recalled is the same for how slow it was: a sentry with little to do remembers longer, so that trying slow
+// workers again stays a small part of its traffic.
+func (s *Sentry) recalled(w int) float64 {
+	memory := max(float64(freshFor), recallFor*float64(s.span)/float64(1+len(s.arrivals)))
+	return max(0, 1-float64(s.now-s.heard[w])/memory)
+}
+
 // score is the load of a worker for its size: the lowest wins. Among equals chance decides, by size.
 func (s *Sentry) score(w int) float64 {
 	fresh, size := s.fresh(w), s.workers[w].Size*s.warmth(w)
@@ -388,7 +396,8 @@
 		load = idle * (s.chance.ExpFloat64() - 1)
 	}
 	load = (load + 1) / size
-	load *= 1 + fresh*max(0, s.pace[w]/slowPace-1)
+	slower := 1 + s.recalled(w)*max(0, s.pace[w]/slowPace-1)
+	load *= slower * slower
 	if s.workers[w].Zone != s.orders.Zone {
 		load *= 1 + 8*s.orders.CrossPrice
 	}
