--- a/logic/logic.go
+++ b/logic/logic.go
@@ -184,7 +184,7 @@
 }
 
 const (
-	spareShare = 0.1 // further hand-offs and copies, to transactions taken
+	spareShare = 0.05 // further hand-offs and copies, to transactions taken
 	spareMost  = 10
 
 	roomLeast        = 2.0 // open hand-offs to ready workers at the start; the least, to this sentry's share
