--- a/logic/logic.go
+++ b/logic/logic.go
@@ -443,7 +443,7 @@
 	r := Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: t.Limit}
 	s.out.Rulings = append(s.out.Rulings, r)
 	if s.orders.MayCopy && p.Repeat != Irreversible && !last && len(t.sends) == 1 {
-		s.alarm(s.now+p.DueTime/3, t)
+		s.alarm(s.now+p.DueTime/2, t)
 	}
 	return false
 }
