--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,6 +74,7 @@
 	}
 	for _, p := range o.Profiles {
 		due := float64(p.DueTime)
+		s.longest = max(s.longest, p.DueTime)
 		s.profiles = append(s.profiles, profileRow{
 			Profile: p, expected: due / 6, bar: due / 4, rate: [kinds]float64{firstRate, firstRate}})
 	}
@@ -189,6 +190,7 @@
 
 	roomLeast        = 2.0 // open hand-offs to ready workers at the start; the least, to this sentry's share
 	roomMost         = 8.0
+	roomFew          = 4.0      // that any sentry may have open
 	roomUp, roomDown = 0.1, 1.0 // for each answer in time while the room is used, and for each failure
 )
 
@@ -204,7 +206,13 @@
 	case e.Ending == Answered && float64(s.busy) >= 0.7*s.room:
 		s.room += roomUp
 	}
-	s.room = min(max(s.room, roomLeast*ready/float64(s.orders.Sentries), 2), roomMost*ready)
+	s.room = min(max(s.room, roomLeast*ready/float64(s.orders.Sentries), 2), roomMost*ready, s.roomFor())
+}
+
+// roomFor is what this sentry's own traffic fills when every answer takes the longest due time: hundreds of
+// sentries that each hold a little too much jam a fleet that no single one of them has seen late.
+func (s *Sentry) roomFor() float64 {
+	return max(roomFew, float64(s.longest)*float64(len(s.arrivals))/float64(s.span))
 }
 
 // assign chooses the build: the two-build hash, under the counter, with keys going forward only.
--- a/logic/state.go
+++ b/logic/state.go
@@ -65,6 +65,7 @@
 	alarms   []alarm // the earliest first
 	waiting  []*transaction
 	profiles []profileRow
+	longest  Micros // due time
 	span     Micros // how long arrivals are kept
 	arrivals []Micros
 	spare    float64 // further hand-offs that the budget still bears
