The pace of the quicker workers only over those heard of lately

Cause: unheard workers stood at their usual pace and hid from quiet sentries that all had become slower.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -827,7 +827,7 @@
 	paces := []float64{1}
 	for b, r := range s.rosters {
 		for _, w := range r.ready[:min(r.use, len(r.ready))] {
-			if (b == s.base || b == s.news.Build) && s.warmth(w) == 1 {
+			if (b == s.base || b == s.news.Build) && s.warmth(w) == 1 && s.recalled(w) > 0 {
 				paces = append(paces, s.pace[w])
 			}
 		}
