Where many judge, the share of slow answers of all decides; repeats are no load

Cause: a build that slows every worker was seen by one lucky sentry or after its release: quiet sentries cannot tell that even the quicker workers are slow. The collectors now judge the share of slow answers of all sentries against that of the first stage, explained by the arrivals of all.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,7 +56,7 @@
 	slowPace      = 1.5        // a pace up to it is taken for chance
 	fewWorkers    = 2          // a working set starts with
 	farther       = 1.0        // a worker of another zone joins a working set so much later
-	lookAt        = 4          // of the set, to this sentry's share of all: more would run after old news together
+	lookAt        = 4          // of the set, to this sentry's share: more would run after the same news
 	idle          = 0.5        // up to this load workers are alike, and chance decides
 	freeCold      = 6.0        // hand-offs to a cold worker that few sentries may always send
 	usualFade     = 0.02       // for each quarter second
@@ -69,7 +69,7 @@
 	s := &Sentry{
 		orders: o, chance: rand.New(rand.NewSource(seed)), span: max(o.ExposureWindow, o.FallSpan, second),
 		open: map[TransactionID]*transaction{}, index: map[WorkerID]int{}, named: map[uint64]int{},
-		rosters: map[BuildID]*roster{}, sentBack: map[BuildID]bool{}, met: map[Key]BuildID{},
+		rosters: map[BuildID]*roster{}, sentBack: map[BuildID]bool{}, met: map[Key]BuildID{}, again: map[Key]int{},
 		taken: make([][]Micros, max(1, len(o.Profiles))), exposed: make([][]Micros, max(1, len(o.Profiles))),
 	}
 	for _, p := range o.Profiles {
@@ -87,6 +87,7 @@
 // call frames every call.
 func (s *Sentry) call(now Micros, do func()) Result {
 	s.now, s.out = max(s.now, now), Result{}
+	s.born = cmp.Or(s.born, s.now)
 	do()
 	if s.orders.AskForList && s.now >= s.askAt { // keeps the subscription alive
 		s.out.Follow, s.askAt = true, s.now+max(second, s.orders.AskWithin/2)
@@ -150,6 +151,7 @@
 func (s *Sentry) ClientLeft(now Micros, id TransactionID) Result {
 	return s.call(now, func() {
 		if t := s.open[id]; t != nil {
+			s.again[t.Key] += int(one(!t.closed))
 			t.closed = true
 			s.forget(t)
 		}
@@ -176,7 +178,10 @@
 
 func (s *Sentry) admit(t *transaction) bool {
 	t.slot = s.chance.Intn(100)
-	s.arrivals = trim(append(s.arrivals, s.now), s.now-s.span)
+	if s.arrivals = trim(s.arrivals, s.now-s.span); !s.repeated(t) { // a repeat is no more load
+		s.arrivals = append(s.arrivals, s.now)
+		s.came++
+	}
 	c := s.counter(t)
 	s.taken[c] = trim(append(s.taken[c], s.now), s.now-s.orders.ExposureWindow)
 	s.spare = min(s.spare+spareShare, spareMost)
@@ -194,9 +199,9 @@
 	roomUp, roomDown = 0.1, 1.0 // for each answer in time while the room is used, and for each failure
 )
 
-// learnRoom bounds the open hand-offs by how answers come, so that a fleet that is short of capacity serves
-// what it can in time instead of everything late. It guards against overload of any cause, bursts and storms
-// of repeats included; it can do harm where failures are quick and not due to load, hence its floor.
+// learnRoom bounds the open hand-offs by how answers come, and by what this sentry's own traffic fills in the
+// longest due time, since hundreds with a little too much each jam a fleet that none of them has seen late.
+// It guards against overload of any cause; it can do harm where failures are quick, hence its floor.
 func (s *Sentry) learnRoom(p *profileRow, w int, e HandOffEnd) {
 	ready := float64(max(1, s.readyCount(s.base)))
 	switch {
@@ -206,13 +211,8 @@
 	case e.Ending == Answered && float64(s.busy) >= 0.7*s.room:
 		s.room += roomUp
 	}
-	s.room = min(max(s.room, roomLeast*ready/float64(s.orders.Sentries), 2), roomMost*ready, s.roomFor())
-}
-
-// roomFor is what this sentry's own traffic fills when every answer takes the longest due time: hundreds of
-// sentries that each hold a little too much jam a fleet that no single one of them has seen late.
-func (s *Sentry) roomFor() float64 {
-	return max(roomFew, float64(s.longest)*float64(len(s.arrivals))/float64(s.span))
+	own := max(roomFew, float64(s.longest)*float64(len(s.arrivals))/float64(s.span))
+	s.room = min(max(s.room, roomLeast*ready/float64(s.orders.Sentries), 2), roomMost*ready, own)
 }
 
 // assign chooses the build: the two-build hash, under the counter, with keys going forward only.
@@ -291,6 +291,7 @@
 		}
 	}
 	s.out.Rulings = append(s.out.Rulings, r)
+	s.again[t.Key]++
 	if len(t.sends) == 0 && s.news.Phase == OnTrial { // under the bound, slowness shows in these
 		s.judgeAll(p, float64(p.OuterLimit))
 	}
@@ -306,10 +307,9 @@
 	return t.worker >= 0 || s.holdBack(t)
 }
 
-// choose takes the least loaded of the working set: the first few ready workers in this sentry's own order, one
-// more whenever all of them are busy. The orders are drawn by size, so hundreds of sentries with little to do
-// spread over the fleet. It guards against all of them choosing alike; it can harm where the few happen to be
-// shared with busy sentries and nothing tells so.
+// choose takes the least loaded of the working set: the first few ready workers in this sentry's own order,
+// one more whenever all are busy. The orders are drawn by size, so that hundreds with little to do spread
+// over the fleet; it can harm where the few happen to be shared with busy sentries and nothing tells so.
 func (s *Sentry) choose(t *transaction, b BuildID) int {
 	r := s.rosters[b]
 	if r == nil {
@@ -354,8 +354,8 @@
 
 // occupied says whether a worker of the set has as much to do as it should get.
 func (s *Sentry) occupied(w int) bool {
-	fresh := s.fresh(w)
-	return s.inHand[w] > 0 || s.shunned[w] > s.now || s.recalled(w)*s.pace[w] > slowPace || fresh*s.others[w] > s.held
+	slow := s.recalled(w)*s.pace[w] > slowPace
+	return slow || s.inHand[w] > 0 || s.shunned[w] > s.now || s.fresh(w)*s.others[w] > s.held
 }
 
 // survey brings the rosters up to date: after a change of the list, and each quarter second for the cold and
@@ -386,11 +386,10 @@
 	}
 }
 
-// fresh is how much of what is known of a worker still counts: one that was slow or full once is tried again.
+// fresh is how much of what is known of a worker's load still counts: one that was full once is tried again.
 func (s *Sentry) fresh(w int) float64 { return max(0, 1-float64(s.now-s.heard[w])/float64(freshFor)) }
 
-// recalled is the same for how slow it was: a sentry with little to do remembers longer, so that trying slow
-// workers again stays a small part of its traffic.
+// recalled is the same for how slow it was, which a sentry with little to do remembers longer.
 func (s *Sentry) recalled(w int) float64 {
 	memory := max(float64(freshFor), recallFor*float64(s.span)/float64(1+len(s.arrivals)))
 	return max(0, 1-float64(s.now-s.heard[w])/memory)
@@ -439,7 +438,6 @@
 
 func (s *Sentry) handOff(t *transaction) bool {
 	p, w := &s.profiles[t.Profile], t.worker
-	last := len(t.sends)+1 >= s.orders.MostHandOffs || p.Repeat == Irreversible
 	h := handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true, opens: !s.connected(w)}
 	t.sends = append(t.sends, h)
 	s.inHand[w]++
@@ -450,7 +448,7 @@
 	}
 	r := Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: t.Limit}
 	s.out.Rulings = append(s.out.Rulings, r)
-	if s.orders.MayCopy && p.Repeat != Irreversible && !last && len(t.sends) == 1 {
+	if s.orders.MayCopy && len(t.sends) == 1 {
 		s.alarm(s.now+p.DueTime/2, t)
 	}
 	return false
@@ -507,8 +505,6 @@
 	return (h.end.Ending == Broken || h.end.Ending == Unconnected) && h.end.Took < s.orders.ConnectLimit/8
 }
 
-// ---- The workers ----
-
 // warmth is the least part of its work that a worker can do by now.
 func (s *Sentry) warmth(w int) float64 {
 	start := s.start(w)
@@ -519,10 +515,9 @@
 	return s.orders.ColdFrom + (1-s.orders.ColdFrom)*min(1, max(0, age))
 }
 
-// tooCold keeps this sentry's part of what all may send a cold worker: half the stated multiple of what a
-// worker of its size usually gets of this sentry's traffic, chance standing in for what is less than one. It
-// guards against bursts, retries and fleets that start anew falling on a few cold workers, however many
-// sentries there are.
+// tooCold keeps this sentry's part of what all may send a cold worker: half the stated multiple of what one
+// of its size usually gets of this sentry's traffic, chance standing in for what is less than one. It guards
+// against bursts, retries and fleets that start anew falling on a few, however many sentries there are.
 func (s *Sentry) tooCold(w int) bool {
 	warmth := s.warmth(w)
 	if warmth >= 1 {
@@ -576,8 +571,6 @@
 	}
 }
 
-// ---- The list ----
-
 // Listed takes a report on the workers.
 func (s *Sentry) Listed(now Micros, kind ListKind, list []Worker) Result {
 	return s.call(now, func() {
@@ -585,9 +578,7 @@
 			s.askWait, s.askAt = 0, s.now+s.orders.AskWithin/2
 		}
 		if kind != ListChanges {
-			for w := range s.workers {
-				s.workers[w].State = Gone
-			}
+			s.dropAll()
 		}
 		for _, in := range list {
 			in.Size = max(in.Size, 1e-3)
@@ -636,11 +627,13 @@
 }
 
 func (s *Sentry) newTrial() {
-	s.calmLoad = 0
+	s.clearTrial()
 	if len(s.arrivals) >= leastSample {
 		s.calmLoad = s.load()
 	}
-	s.clearTrial()
+	if s.calmAt, s.calmCan = s.now, s.fleetCan; s.now-s.born > s.span {
+		s.calmRate = float64(len(s.arrivals)) / float64(s.span)
+	}
 	for i := range s.profiles {
 		if p := &s.profiles[i]; p.seen >= max(5, 10*leastSample/s.orders.Sentries) {
 			p.calm = p.bar
@@ -780,26 +773,33 @@
 }
 
 // judgeAll compares all workers, of either build, with what answers took before the trial began: a build may
-// slow the whole fleet, and then the earlier build beside it is no measure. Nothing is held against the build
-// where the fleet bears clearly more than it did then (a burst, workers lost), where a quarter of the workers
-// is as quick as ever (neighbours, slow machines), or long after the release. It can harm a build when the
-// whole fleet slows down for a reason that no load shows.
+// slow the whole fleet. Nothing is held against it where the fleet bears clearly more than then (a burst,
+// workers lost), where a quarter of the workers (of many sentries' answers, half) is as quick as ever, or long after
+// the release. It can harm a build when the whole fleet slows down for a reason that no load shows.
 func (s *Sentry) judgeAll(p *profileRow, took float64) {
 	if !s.watched() || p.calm == 0 {
 		return
 	}
-	slow := took > min(calmTimes*p.calm, float64(p.DueTime)) && s.quickPace() > calmPace*s.byLoad(s.loadNow())
-	at := len(s.mine) - 2
+	slow := took > min(calmTimes*p.calm, float64(p.DueTime)) &&
+		(s.together() || s.quickPace() > calmPace*s.byLoad(s.loadNow()))
+	at := len(s.mine) - 4
 	s.mine[at]++
 	s.mine[at+1] += uint64(one(slow))
 	s.sumAll(1, one(slow))
 }
 
 func (s *Sentry) sumAll(n, slow float64) {
-	s.allSum = max(0, s.allSum+(slow-n*calmSlack)*s.allMeter.part(s.now, n))
+	slack := calmSlack
+	if s.together() {
+		first := one(s.news.Stage == 0) // what is slow with next to no trial is no fault of it
+		s.firstSeen, s.firstSlow = s.firstSeen+first*n, s.firstSlow+first*slow
+		slack = max(togetherSlack, min(mostSlack, togetherSlack/2+s.firstSlow/max(1, s.firstSeen)))
+		slack *= s.byLoad(s.loadNow())
+	}
+	s.allSum = max(0, s.allSum+(slow-n*slack)*s.allMeter.part(s.now, n))
 }
 
-// part is how much n more outcomes count each: times of one second hang together, since a jam makes many late.
+// part is how much n more outcomes count each: times of one second hang together in a jam.
 func (m *meter) part(now Micros, n float64) float64 {
 	m.rate = m.rate*math.Exp(-float64(now-m.at)/float64(second)) + n
 	m.at = now
@@ -811,6 +811,9 @@
 
 // loadNow is the load to that before the trial, taken for no other where too little was seen then.
 func (s *Sentry) loadNow() float64 {
+	if s.together() && s.due.rate > 0 {
+		return s.arrived.rate / s.due.rate * max(1, s.calmCan/max(s.fleetCan, 1e-9))
+	}
 	if s.calmLoad == 0 {
 		return 1
 	}
@@ -837,9 +840,8 @@
 }
 
 // weigh counts a miss of a worker of the trial for less the more this worker has missed beyond its even part
-// of all. It guards against a machine's own trouble (failing fast, slow, shared with another program) being
-// held against the build; it costs time where a bad build has very few workers of which one gets most of the
-// traffic.
+// of all. It guards against a machine's own trouble (failing fast, slow, shared with another program); it
+// costs time where a bad build has very few workers of which one gets most of the traffic.
 func (s *Sentry) weigh(w int, miss bool) float64 {
 	if !miss {
 		return 1
@@ -854,25 +856,24 @@
 // Complained takes a client's word that an answer was wrong: it counts as an error of that build.
 func (s *Sentry) Complained(now Micros, c Complaint) Result {
 	return s.call(now, func() {
-		w, known := s.index[c.Worker]
-		switch {
-		case !known || c.Profile < 0 || int(c.Profile) >= len(s.profiles)-1:
-		default:
+		if w, known := s.index[c.Worker]; known && c.Profile >= 0 && int(c.Profile) < len(s.profiles)-1 {
 			newest := s.news.Valid && s.workers[w].Build == s.news.Build
 			s.observe(c.Profile, errs, newest, true, s.weigh(w, newest))
 		}
 	})
 }
 
-// ---- Judging together ----
-
 const (
-	collectors = 3 // sentries that judge what all have seen
-	reportEach = second / 2
-	mostNamed  = 20         // workers that a report names with their misses
-	adviceFor  = 3 * second // for how long what a collector says counts
+	manySentries             = 20
+	togetherSlack, mostSlack = 0.55, 0.9  // share of slow answers let pass there: at the least and the most
+	collectors               = 3          // sentries that judge what all have seen
+	mostNamed                = 20         // workers that a report names with their misses
+	adviceFor                = 3 * second // for how long what a collector says counts
 )
 
+// together says whether so many judge that only all of them see enough.
+func (s *Sentry) together() bool { return s.orders.MayMessage && s.orders.Sentries >= manySentries }
+
 // collectorsAt names the sentries that collect in this trial, by position.
 func (s *Sentry) collectorsAt() (at []SentryID) {
 	for i := range collectors {
@@ -887,10 +888,14 @@
 // are sent whole each time, so that a lost message or a restart of either side loses nothing for long. It
 // guards against judging on very little; where messages are lost each judges by itself.
 func (s *Sentry) pool(v Verdict) {
-	if !s.orders.MayMessage || s.now < s.poolNext || s.judged == 0 && s.mine[place(0, errs, true)] == 0 {
+	if !s.orders.MayMessage || s.now < s.poolNext {
 		return
 	}
-	s.poolNext = s.now + reportEach
+	s.poolNext = s.now + second/2
+	if s.calmRate > 0 {
+		due := uint64(s.calmRate * float64(s.now-s.calmAt))
+		s.mine[len(s.mine)-2], s.mine[len(s.mine)-1] = due+s.came, s.came
+	}
 	if s.collects() {
 		body := pack(asAdvice, []uint64{uint64(s.news.Build), uint64(s.news.Stage), uint64(v)})
 		s.out.Messages = append(s.out.Messages, Message{To: EverySentry, Body: body})
@@ -938,7 +943,10 @@
 	}
 	for i := 0; i < len(r.counts); i += 2 {
 		n, hits := float64(r.counts[i]-old.counts[i]), float64(r.counts[i+1]-old.counts[i+1])
-		if id, k, trial, all := placed(i, len(r.counts)); n > 0 && all {
+		if id, k, trial, all := placed(i, len(r.counts)); i == len(r.counts)-2 {
+			s.arrived.part(s.now, hits)
+			s.due.part(s.now, n-hits)
+		} else if n > 0 && all {
 			s.sumAll(n, hits)
 		} else if n > 0 {
 			s.judge(id, k, trial, n, hits*(1-one(trial)*(1-weight)))
@@ -962,10 +970,9 @@
 	s.ramp()
 	v := Vote{Build: s.news.Build, Stage: s.news.Stage, Verdict: s.verdict()}
 	s.pool(v.Verdict)
-	renew := s.votedAt == 0 || s.now-s.votedAt >= s.orders.VoteLife*6/10
-	if v.Verdict != NoVerdict && (v != s.voted || renew) {
+	if v.Verdict != NoVerdict && (v != s.voted || s.votedAt == 0 || s.now-s.votedAt >= s.orders.VoteLife*6/10) {
 		if v != s.voted && (s.collects() || !s.orders.MayMessage) {
-			s.note([...]string{GoOn: "voting on", Hold: "voting to hold", GoBack: "voting back"}[v.Verdict])
+			s.note(v.Verdict)
 		}
 		s.out.Votes = append(s.out.Votes, v)
 		s.voted, s.votedAt = v, s.now
@@ -973,38 +980,34 @@
 }
 
 func (s *Sentry) verdict() Verdict {
-	sum := slices.Max(s.sums())
-	o, patience := &s.orders, noAlarmTime
-	limit := voteBackAt
-	if !o.MayMessage || !s.collects() { // the more may vote by themselves, the less a chance sum may decide
+	o, patience, limit, sums := &s.orders, noAlarmTime, voteBackAt, s.sums()
+	if alone := !o.MayMessage || !s.collects(); alone { // the more may vote, the less a chance sum may decide
 		limit += math.Log(1 + float64(o.Sentries)/float64(10*max(1, o.BackVotes)))
+		sums = sums[int(one(s.together())):] // what is slow among all it does not see
 	}
-	if s.advisedAt > s.now-adviceFor && s.advisedOn == s.news.Stage && !s.collects() {
-		return s.advice * Verdict(one(max(o.OnVotes, o.BackVotes, o.HoldVotes) > collectors)) // or theirs do
+	if s.advisedAt > s.now-adviceFor && !s.collects() {
+		if max(o.OnVotes, o.BackVotes, o.HoldVotes) <= collectors || s.advisedOn != s.news.Stage {
+			return NoVerdict // theirs are enough, or not yet of this stage
+		}
+		return s.advice
 	}
+	sum := slices.Max(sums)
 	if s.blamed = s.blamed || sum > limit; s.blamed {
 		return GoBack
 	}
-	if o.MayMessage && !s.collects() {
-		patience *= 3 // others may know more
-	}
-	if s.news.Phase == Released {
-		return NoVerdict
-	}
-	if s.orders.Control == ControlTimer {
-		if sum > voteOnBelow {
-			return Hold
-		}
-		return NoVerdict
-	}
+	patience *= 1 + Micros(2*one(o.MayMessage && !s.collects())) // others may know more
 	r := s.rosters[s.news.Build]
-	if r == nil || len(r.ready) == 0 {
+	switch timer := o.Control == ControlTimer; {
+	case s.news.Phase == Released || r == nil || len(r.ready) == 0:
+		return NoVerdict
+	case timer && sum > voteOnBelow:
+		return Hold
+	case timer || sum >= voteOnBelow:
 		return NoVerdict
 	}
-	if settled := s.now - max(s.toldAt, r.newest); sum < voteOnBelow {
-		if settled >= patience || settled >= settleTime && s.judged >= leastSample {
-			return GoOn
-		}
+	settled := s.now - max(s.toldAt, r.newest)
+	if settled >= patience || settled >= settleTime && s.judged >= leastSample {
+		return GoOn
 	}
 	return NoVerdict
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -102,28 +102,34 @@
 	askAt, askWait Micros
 
 	// The build on trial.
-	news                News
-	toldAt              Micros
-	base                BuildID
-	sentBack            map[BuildID]bool
-	reach, judged       int // slots under reach go to the trial, outcomes judged
-	met                 map[Key]BuildID
-	taken               [][]Micros // transactions, by profile where exposure counts so, else all in the first
-	exposed             [][]Micros // hand-offs to the trial, likewise
-	baseSeen            Micros     // last outcome of the earlier build
-	missed              float64    // all misses of the trial's workers
-	mine, sent          []uint64   // outcomes counted, and as last sent
-	life                uint64     // tells this run of the sentry from others
-	reports             map[SentryID]report
-	advice              Verdict // of the collectors
-	advisedAt           Micros
-	advisedOn           int // stage
-	poolNext            Micros
-	allMeter, lateMeter meter
-	allSum, calmLoad    float64 // excess of slow ones everywhere, and load before the trial
-	voted               Vote
-	blamed              bool
-	votedAt, voteNext   Micros
+	news                 News
+	toldAt               Micros
+	base                 BuildID
+	sentBack             map[BuildID]bool
+	reach, judged        int // slots under reach go to the trial, outcomes judged
+	met                  map[Key]BuildID
+	taken                [][]Micros // transactions, by profile where exposure counts so, else all in the first
+	exposed              [][]Micros // hand-offs to the trial, likewise
+	baseSeen             Micros     // last outcome of the earlier build
+	missed               float64    // all misses of the trial's workers
+	mine, sent           []uint64   // outcomes counted, and as last sent
+	life                 uint64     // tells this run of the sentry from others
+	reports              map[SentryID]report
+	advice               Verdict // of the collectors
+	advisedAt            Micros
+	advisedOn            int // stage
+	poolNext             Micros
+	allMeter, lateMeter  meter
+	arrived, due         meter       // transactions that came to all, and that would have as before the trial
+	again                map[Key]int // given up, and not come again yet
+	came                 uint64
+	born, calmAt         Micros
+	firstSeen, firstSlow float64 // answers in the first stage
+	calmRate, calmCan    float64
+	allSum, calmLoad     float64 // excess of slow ones everywhere, and load before the trial
+	voted                Vote
+	blamed               bool
+	votedAt, voteNext    Micros
 }
 
 // roster is the ready workers of a build, and the few of them that this sentry uses.
@@ -287,14 +293,15 @@
 }
 
 // note says in the log what the judge's sums were.
-func (s *Sentry) note(what string) {
+func (s *Sentry) note(v Verdict) {
+	what := [...]string{GoOn: "voting on", Hold: "voting to hold", GoBack: "voting back"}[v]
 	s.out.Notes = append(s.out.Notes, fmt.Sprintf(
 		"%s build %d stage %d: of %d at load %.2f: all slower, then errors and late by profile and in all %.1f",
 		what, s.news.Build, s.news.Stage, s.judged, s.loadNow(), s.sums()))
 }
 
 // place is where the outcomes of a kind are counted, and after it those that failed or were late. The last
-// two places are for all workers.
+// four places are for all workers, and for what would have come and came with that.
 func place(id ProfileID, k kind, trial bool) int {
 	return ((int(id)*int(kinds)+int(k))*2 + int(one(trial))) * 2
 }
@@ -352,7 +359,7 @@
 
 // placed is what is counted at a place, of so many.
 func placed(i, of int) (id ProfileID, k kind, trial, all bool) {
-	return ProfileID(i / 4 / int(kinds)), kind(i / 4 % int(kinds)), i/2%2 == 1, i == of-2
+	return ProfileID(i / 4 / int(kinds)), kind(i / 4 % int(kinds)), i/2%2 == 1, i == of-4
 }
 
 // renew takes over a line of the list, and forgets what was known of a worker that has started anew.
@@ -368,6 +375,9 @@
 // clearTrial forgets what was counted of the last trial.
 func (s *Sentry) clearTrial() {
 	s.reach, s.judged, s.allSum, s.blamed, s.missed = 0, 0, 0, false, 0
+	s.calmLoad, s.calmRate, s.came, s.firstSeen, s.firstSlow = 0, 0, 0, 0, 0
+	s.arrived, s.due = meter{}, meter{}
+	clear(s.again)
 	s.voted, s.votedAt = Vote{}, 0
 	for i := range s.profiles {
 		s.profiles[i].sum, s.profiles[i].calm = [kinds]float64{}, 0
@@ -378,7 +388,7 @@
 	clear(s.met)
 	clear(s.misses)
 	clear(s.ownMisses)
-	s.mine, s.sent = make([]uint64, place(ProfileID(len(s.profiles)-1), errs, false)+2), nil
+	s.mine, s.sent = make([]uint64, place(ProfileID(len(s.profiles)-1), errs, false)+4), nil
 	s.reports, s.advice, s.advisedAt = map[SentryID]report{}, NoVerdict, 0
 }
 
@@ -386,3 +396,19 @@
 func (s *Sentry) connected(w int) bool {
 	return s.answered[w] > 0 && (s.orders.IdleClose == 0 || s.now-s.answered[w] < s.orders.IdleClose)
 }
+
+// repeated says whether a transaction comes again after it was given up, or was marked so by its client.
+func (s *Sentry) repeated(t *transaction) bool {
+	again := s.again[t.Key] > 0
+	if again {
+		s.again[t.Key]--
+	}
+	return again || t.Again
+}
+
+// dropAll holds every worker for gone, until a whole list names it.
+func (s *Sentry) dropAll() {
+	for w := range s.workers {
+		s.workers[w].State = Gone
+	}
+}
