--- a/logic/logic.go
+++ b/logic/logic.go
@@ -178,10 +178,8 @@
 
 func (s *Sentry) admit(t *transaction) bool {
 	t.slot = s.chance.Intn(100)
-	if s.arrivals = trim(s.arrivals, s.now-s.span); !s.repeated(t) { // a repeat is no more load
-		s.arrivals = append(s.arrivals, s.now)
-		s.came++
-	}
+	s.arrivals = trim(append(s.arrivals, s.now), s.now-s.span)
+	s.came += uint64(one(!s.repeated(t))) // what comes again is no more load
 	c := s.counter(t)
 	s.taken[c] = trim(append(s.taken[c], s.now), s.now-s.orders.ExposureWindow)
 	s.spare = min(s.spare+spareShare, spareMost)
