--- a/logic/logic.go
+++ b/logic/logic.go
@@ -339,9 +339,9 @@
 		if !s.ready(w, b, t) {
 			continue
 		}
-		load := s.score(w) * (1 + s.faults[w])
+		load := s.score(w) * (1 + s.breaks[w])
 		if len(t.sends)+1 >= s.orders.MostHandOffs { // the last one wants a worker that does not fail
-			load *= 1 + 20*s.faults[w]
+			load *= 1 + 20*s.breaks[w]
 		}
 		if best < 0 || load < least {
 			best, least = w, load
@@ -402,7 +402,7 @@
 	}
 	load = (load + 1) / size
 	slower := 1 + s.recalled(w)*max(0, s.pace[w]/slowPace-1)
-	load *= slower * slower
+	load *= math.Pow(slower, 1+one(s.held == 0)) // where no load is reported, slowness stands for it too
 	if s.workers[w].Zone != s.orders.Zone {
 		load *= 1 + 8*s.orders.CrossPrice
 	}
@@ -547,6 +547,8 @@
 		return
 	}
 	s.faults[w] += faultFade * (one(h.end.Ending != Answered) - s.faults[w])
+	full := h.end.Ending == TurnedAway || h.end.Ending == TimedOut
+	s.breaks[w] += faultFade * (one(h.end.Ending != Answered && !full) - s.breaks[w])
 	if h.end.Ending == Answered && !h.opens || h.end.Ending == TimedOut {
 		ratio := min(10, float64(h.end.Took)/p.expected)
 		s.pace[w] += renew * (ratio - s.pace[w])
@@ -944,9 +946,9 @@
 		if id, k, trial, all := placed(i, len(r.counts)); i == len(r.counts)-2 {
 			s.arrived.part(s.now, hits)
 			s.due.part(s.now, n-hits)
-		} else if n > 0 && all {
+		} else if n > 0 && all && s.together() { // few sentries see it each by itself, and sooner
 			s.sumAll(n, hits)
-		} else if n > 0 {
+		} else if n > 0 && !all {
 			s.judge(id, k, trial, n, hits*(1-one(trial)*(1-weight)))
 		}
 	}
@@ -983,7 +985,7 @@
 		limit += math.Log(1 + float64(o.Sentries)/float64(10*max(1, o.BackVotes)))
 		sums = sums[int(one(s.together())):] // what is slow among all it does not see
 	}
-	if s.advisedAt > s.now-adviceFor && !s.collects() {
+	if s.advisedAt > s.now-adviceFor && !s.collects() && (s.together() || s.allSum <= limit) {
 		if max(o.OnVotes, o.BackVotes, o.HoldVotes) <= collectors || s.advisedOn != s.news.Stage {
 			return NoVerdict // theirs are enough, or not yet of this stage
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -83,6 +83,7 @@
 	others    []float64      // reported load beyond these
 	pace      []float64      // time of answers to what is expected
 	faults    []float64      // smoothed share of failures
+	breaks    []float64      // of failures that no load explains
 	heard     []Micros       // last end of a hand-off
 	shunned   []Micros       // not before then
 	revived   []Micros       // answered then, after it had been down
@@ -209,7 +210,7 @@
 	s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
 	s.strikes, s.recent = append(s.strikes, 0), append(s.recent, nil)
 	s.misses, s.luck = append(s.misses, 0), append(s.luck, 0)
-	s.answered = append(s.answered, 0)
+	s.answered, s.breaks = append(s.answered, 0), append(s.breaks, 0)
 	s.heard, s.luckTill = append(s.heard, 0), append(s.luckTill, 0)
 	s.rank = append(s.rank, rank)
 	at, _ := slices.BinarySearchFunc(s.order, rank, func(v int, r float64) int { return cmp.Compare(s.rank[v], r) })
@@ -368,6 +369,7 @@
 		s.missed -= s.misses[w]
 		s.others[w], s.pace[w], s.faults[w], s.misses[w] = 0, 1, 0, 0
 		s.shunned[w], s.revived[w], s.strikes[w], s.answered[w] = 0, 0, 0, 0
+		s.breaks[w] = 0
 	}
 	s.workers[w] = in
 }
