--- a/logic/crowd_test.go
+++ b/logic/crowd_test.go
@@ -207,7 +207,7 @@
 		c := newCrowd(5, 8, seed)
 		c.add(2, "t", 11, 0)
 		c.tell(News{Valid: true, Build: 11, Cap: 0.5})
-		s := c.all[int(s0(c).collectorsAt()[0])]
+		s := c.all[int(c.all[0].collectorsAt()[0])]
 		for range 500 {
 			body := make([]byte, c.chance.Intn(80))
 			c.chance.Read(body)
@@ -234,8 +234,6 @@
 	})
 }
 
-func s0(c *crowd) *Sentry { return c.all[0] }
-
 // All sentries together keep a cold worker under the stated multiple of its part, in bursts, after silence,
 // late wake-ups and when only few workers are left, though each knows only its own traffic.
 func FuzzColdWorkers(f *testing.F) {
@@ -251,7 +249,7 @@
 		c.add(4, "c", 10, started)
 		clear(c.sent)
 		c.run(2*second, 3+c.chance.Intn(6)) // up to three times the usual
-		o := s0(c).orders
+		o := c.all[0].orders
 		for i := range 4 {
 			id := WorkerID(fmt.Sprint("c", i))
 			got := float64(len(c.sent[id]))
