A sentry that stood still takes no times across the gap; rows, keys and rosters bounded

Rows of workers long gone are used again, keys met are kept only while a build is on trial, empty rosters are dropped.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,7 +74,7 @@
 	}
 	for _, p := range o.Profiles {
 		due := float64(p.DueTime)
-		s.longest = max(s.longest, p.DueTime)
+		s.longest, s.outermost = max(s.longest, p.DueTime), max(s.outermost, p.OuterLimit)
 		s.profiles = append(s.profiles, profileRow{
 			Profile: p, expected: due / 6, bar: due / 4, rate: [kinds]float64{firstRate, firstRate}})
 	}
@@ -86,6 +86,9 @@
 
 // call frames every call.
 func (s *Sentry) call(now Micros, do func()) Result {
+	if s.born > 0 && now > s.now+second { // it wakes more often than that: it has stood still
+		s.stalled = now
+	}
 	s.now, s.out = max(s.now, now), Result{}
 	s.born = cmp.Or(s.born, s.now)
 	do()
@@ -137,7 +140,7 @@
 		t := s.open[e.Transaction]
 		if t != nil && e.HandOff >= 0 && e.HandOff < len(t.sends) && !t.sends[e.HandOff].over {
 			h := &t.sends[e.HandOff]
-			h.end = e
+			h.end, h.untimed = e, h.untimed || h.sent < s.stalled
 			t.closed = t.closed || e.Closed
 			for i := len(chain) - 1; i >= 0; i-- {
 				chain[i].back(s, t, h)
@@ -359,7 +362,10 @@
 // survey brings the rosters up to date: after a change of the list, and each quarter second for the cold and
 // the shunned, which stand last.
 func (s *Sentry) survey() {
-	for _, r := range s.rosters {
+	for b, r := range s.rosters {
+		if len(r.ready) == 0 {
+			delete(s.rosters, b)
+		}
 		r.ready, r.can, r.newest = r.ready[:0], 0, 0
 	}
 	s.fleetCan = 0
@@ -436,7 +442,7 @@
 
 func (s *Sentry) handOff(t *transaction) bool {
 	p, w := &s.profiles[t.Profile], t.worker
-	h := handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true, opens: !s.connected(w)}
+	h := handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true, untimed: !s.connected(w)}
 	t.sends = append(t.sends, h)
 	s.inHand[w]++
 	s.busy++
@@ -549,7 +555,7 @@
 	s.faults[w] += faultFade * (one(h.end.Ending != Answered) - s.faults[w])
 	full := h.end.Ending == TurnedAway || h.end.Ending == TimedOut
 	s.breaks[w] += faultFade * (one(h.end.Ending != Answered && !full) - s.breaks[w])
-	if h.end.Ending == Answered && !h.opens || h.end.Ending == TimedOut {
+	if h.end.Ending == Answered && !h.untimed || h.end.Ending == TimedOut {
 		ratio := min(10, float64(h.end.Took)/p.expected)
 		s.pace[w] += renew * (ratio - s.pace[w])
 	}
@@ -616,8 +622,8 @@
 			if n.Build != s.news.Build || n.Stage != s.news.Stage || n.Phase != s.news.Phase {
 				s.toldAt = s.now - n.Age
 			}
-			if n.Phase == GoingBack || n.Phase == Withdrawn {
-				s.sentBack[n.Build] = true
+			if n.Phase != OnTrial { // sent back, or no earlier build is used any more
+				s.sentBack[n.Build] = n.Phase != Released
 				clear(s.met)
 			}
 			s.news = n
@@ -705,9 +711,10 @@
 func (s *Sentry) learnBuild(t *transaction, h *handOff) {
 	p := &s.profiles[t.Profile]
 	stands := s.news.Valid && (s.news.Phase == OnTrial || s.news.Phase == Released)
+	_, onTrial := s.trial()
 	newest := stands && h.build == s.news.Build
 	// The list may have changed its mind on the worker's build meanwhile: either counts as met.
-	if is := s.workers[h.worker].Build; h.end.Ending == Answered && stands && (newest || is == s.news.Build) {
+	if is := s.workers[h.worker].Build; h.end.Ending == Answered && onTrial && (newest || is == s.news.Build) {
 		s.met[t.Key] = s.news.Build
 	}
 	took, failed, bar := float64(h.end.Took), h.end.Ending == Errored, min(slowTimes*p.bar, float64(p.DueTime))
@@ -716,7 +723,7 @@
 		return
 	}
 	age := s.now - s.start(h.worker)
-	warm := !failed && !h.opens && age >= max(settleTime, s.orders.WarmUp)
+	warm := !failed && !h.untimed && age >= max(settleTime, s.orders.WarmUp)
 	slow := !failed && (h.end.Ending == TimedOut || took > bar)
 	miss := newest && (failed || slow)
 	weight := s.weigh(h.worker, miss)
@@ -743,9 +750,7 @@
 
 // observe books one outcome, judges it and keeps it for the sentries that collect.
 func (s *Sentry) observe(id ProfileID, k kind, trial, hit bool, weight float64) {
-	at := place(id, k, trial)
-	s.mine[at]++
-	s.mine[at+1] += uint64(one(hit))
+	s.mark(place(id, k, trial), hit)
 	s.judge(id, k, trial, 1, one(hit)*weight)
 }
 
@@ -782,9 +787,7 @@
 	}
 	slow := took > min(calmTimes*p.calm, float64(p.DueTime)) &&
 		(s.together() || s.quickPace() > calmPace*s.byLoad(s.loadNow()))
-	at := len(s.mine) - 4
-	s.mine[at]++
-	s.mine[at+1] += uint64(one(slow))
+	s.mark(len(s.mine)-4, slow)
 	s.sumAll(1, one(slow))
 }
 
@@ -900,10 +903,6 @@
 		body := pack(asAdvice, []uint64{uint64(s.news.Build), uint64(s.news.Stage), uint64(v)})
 		s.out.Messages = append(s.out.Messages, Message{To: EverySentry, Body: body})
 	}
-	if slices.Equal(s.mine, s.sent) {
-		return
-	}
-	s.sent = slices.Clone(s.mine)
 	values := append([]uint64{uint64(s.news.Build), s.life}, s.mine...)
 	values = s.appendMisses(values, mostNamed)
 	for _, to := range s.collectorsAt() {
--- a/logic/state.go
+++ b/logic/state.go
@@ -13,13 +13,13 @@
 )
 
 type handOff struct {
-	worker int
-	build  BuildID
-	sent   Micros
-	over   bool
-	opens  bool // a connection had to be opened
-	mayRun bool // not proven not to have run
-	end    HandOffEnd
+	worker  int
+	build   BuildID
+	sent    Micros
+	over    bool
+	untimed bool // its time says nothing: a connection had to be opened, or this sentry stood still
+	mayRun  bool // not proven not to have run
+	end     HandOffEnd
 }
 
 type transaction struct {
@@ -57,20 +57,21 @@
 
 // Sentry is one instance. Its calls must not overlap.
 type Sentry struct {
-	orders   StandingOrders
-	chance   *rand.Rand
-	now      Micros
-	out      Result
-	open     map[TransactionID]*transaction
-	alarms   []alarm // the earliest first
-	waiting  []*transaction
-	profiles []profileRow
-	longest  Micros // due time
-	span     Micros // how long arrivals are kept
-	arrivals []Micros
-	spare    float64 // further hand-offs that the budget still bears
-	busy     int     // own open hand-offs
-	room     float64 // and how many there may be
+	orders    StandingOrders
+	chance    *rand.Rand
+	now       Micros
+	out       Result
+	open      map[TransactionID]*transaction
+	alarms    []alarm // the earliest first
+	waiting   []*transaction
+	profiles  []profileRow
+	longest   Micros // due time
+	outermost Micros // limit of any transaction
+	span      Micros // how long arrivals are kept
+	arrivals  []Micros
+	spare     float64 // further hand-offs that the budget still bears
+	busy      int     // own open hand-offs
+	room      float64 // and how many there may be
 
 	// Workers, under a dense index.
 	index     map[WorkerID]int
@@ -91,6 +92,7 @@
 	recent    [][]Micros     // hand-offs while cold
 	luckTill  []Micros
 	answered  []Micros  // last
+	gone      []Micros  // since when, if it is
 	luck      []float64 // what chance adds to their bound
 	misses    []float64 // what the judge counted against it in this trial
 
@@ -113,7 +115,7 @@
 	exposed              [][]Micros // hand-offs to the trial, likewise
 	baseSeen             Micros     // last outcome of the earlier build
 	missed               float64    // all misses of the trial's workers
-	mine, sent           []uint64   // outcomes counted, and as last sent
+	mine                 []uint64   // outcomes counted
 	life                 uint64     // tells this run of the sentry from others
 	reports              map[SentryID]report
 	advice               Verdict // of the collectors
@@ -125,6 +127,7 @@
 	again                map[Key]int // given up, and not come again yet
 	came                 uint64
 	born, calmAt         Micros
+	stalled              Micros  // when it last found that it had stood still
 	firstSeen, firstSlow float64 // answers in the first stage
 	calmRate, calmCan    float64
 	allSum, calmLoad     float64 // excess of slow ones everywhere, and load before the trial
@@ -199,20 +202,33 @@
 	at   Micros
 }
 
-// addWorker gives a new worker its row, and its place in this sentry's order.
+// addWorker gives a new worker a row, one of a worker long gone if there is one, and its place in this sentry's
+// order.
 func (s *Sentry) addWorker(in Worker, rank float64) int {
-	w := len(s.workers)
-	s.index[in.ID], s.named[shortName(in.ID)] = w, w
-	s.ownMisses = append(s.ownMisses, 0)
-	s.workers = append(s.workers, in)
-	s.inHand, s.others = append(s.inHand, 0), append(s.others, 0)
-	s.pace, s.faults = append(s.pace, 1), append(s.faults, 0)
-	s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
-	s.strikes, s.recent = append(s.strikes, 0), append(s.recent, nil)
-	s.misses, s.luck = append(s.misses, 0), append(s.luck, 0)
-	s.answered, s.breaks = append(s.answered, 0), append(s.breaks, 0)
-	s.heard, s.luckTill = append(s.heard, 0), append(s.luckTill, 0)
-	s.rank = append(s.rank, rank)
+	w := slices.IndexFunc(s.workers, func(old Worker) bool {
+		v := s.index[old.ID]
+		return old.State == Gone && s.inHand[v] == 0 && s.now-s.gone[v] > s.outermost
+	})
+	if w >= 0 {
+		delete(s.index, s.workers[w].ID)
+		s.order = slices.DeleteFunc(s.order, func(v int) bool { return v == w })
+	} else {
+		w = len(s.workers)
+		s.workers = append(s.workers, Worker{})
+		s.inHand, s.others = append(s.inHand, 0), append(s.others, 0)
+		s.pace, s.faults = append(s.pace, 1), append(s.faults, 0)
+		s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
+		s.strikes, s.recent = append(s.strikes, 0), append(s.recent, nil)
+		s.misses, s.luck = append(s.misses, 0), append(s.luck, 0)
+		s.ownMisses, s.gone = append(s.ownMisses, 0), append(s.gone, 0)
+		s.answered, s.breaks = append(s.answered, 0), append(s.breaks, 0)
+		s.heard, s.luckTill = append(s.heard, 0), append(s.luckTill, 0)
+		s.rank = append(s.rank, 0)
+	}
+	s.workers[w] = Worker{Build: -1}
+	s.renew(w, in)
+	s.index[in.ID], s.named[shortName(in.ID)], s.rank[w] = w, w, rank
+	s.ownMisses[w], s.heard[w], s.luckTill[w], s.recent[w] = 0, 0, 0, nil
 	at, _ := slices.BinarySearchFunc(s.order, rank, func(v int, r float64) int { return cmp.Compare(s.rank[v], r) })
 	s.order = slices.Insert(s.order, at, w)
 	return w
@@ -365,6 +381,9 @@
 
 // renew takes over a line of the list, and forgets what was known of a worker that has started anew.
 func (s *Sentry) renew(w int, in Worker) {
+	if in.State == Gone {
+		s.gone[w] = s.now
+	}
 	if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
 		s.missed -= s.misses[w]
 		s.others[w], s.pace[w], s.faults[w], s.misses[w] = 0, 1, 0, 0
@@ -390,7 +409,7 @@
 	clear(s.met)
 	clear(s.misses)
 	clear(s.ownMisses)
-	s.mine, s.sent = make([]uint64, place(ProfileID(len(s.profiles)-1), errs, false)+4), nil
+	s.mine = make([]uint64, place(ProfileID(len(s.profiles)-1), errs, false)+4)
 	s.reports, s.advice, s.advisedAt = map[SentryID]report{}, NoVerdict, 0
 }
 
@@ -411,6 +430,14 @@
 // dropAll holds every worker for gone, until a whole list names it.
 func (s *Sentry) dropAll() {
 	for w := range s.workers {
-		s.workers[w].State = Gone
+		if s.workers[w].State != Gone {
+			s.workers[w].State, s.gone[w] = Gone, s.now
+		}
 	}
 }
+
+// mark counts one outcome at a place.
+func (s *Sentry) mark(at int, hit bool) {
+	s.mine[at]++
+	s.mine[at+1] += uint64(one(hit))
+}
