--- a/logic/logic.go
+++ b/logic/logic.go
@@ -196,7 +196,7 @@
 
 	roomLeast        = 2.0 // open hand-offs to ready workers at the start; the least, to this sentry's share
 	roomMost         = 8.0
-	roomFew          = 4.0      // that any sentry may have open
+	roomFew          = 6.0      // that any sentry may have open
 	roomUp, roomDown = 0.1, 1.0 // for each answer in time while the room is used, and for each failure
 )
 
@@ -213,7 +213,7 @@
 		s.room += roomUp
 	}
 	own := max(roomFew, float64(s.longest)*float64(len(s.arrivals))/float64(s.span))
-	s.room = min(max(s.room, roomLeast*ready/float64(s.orders.Sentries), 2), roomMost*ready, own)
+	s.room = min(max(s.room, roomLeast*ready/float64(s.orders.Sentries), 3), roomMost*ready, own)
 }
 
 // assign chooses the build: the two-build hash, under the counter, with keys going forward only.
