--- a/logic/logic.go
+++ b/logic/logic.go
@@ -196,7 +196,7 @@
 
 	roomLeast        = 2.0 // open hand-offs to ready workers at the start; the least, to this sentry's share
 	roomMost         = 8.0
-	roomFew          = 6.0      // that any sentry may have open
+	roomFew          = 9.0      // that any sentry may have open
 	roomUp, roomDown = 0.1, 1.0 // for each answer in time while the room is used, and for each failure
 )
 
@@ -208,12 +208,12 @@
 	switch {
 	case s.shunned[w] > s.now:
 	case e.Ending == TurnedAway || e.Ending == TimedOut || e.Ending == Answered && e.Took > p.DueTime:
-		s.room -= roomDown
+		s.room -= min(roomDown, s.room/4)
 	case e.Ending == Answered && float64(s.busy) >= 0.7*s.room:
-		s.room += roomUp
+		s.room += roomUp * max(1, 4/s.room)
 	}
 	own := max(roomFew, float64(s.longest)*float64(len(s.arrivals))/float64(s.span))
-	s.room = min(max(s.room, roomLeast*ready/float64(s.orders.Sentries), 3), roomMost*ready, own)
+	s.room = min(max(s.room, roomLeast*ready/float64(s.orders.Sentries), 1), roomMost*ready, own)
 }
 
 // assign chooses the build: the two-build hash, under the counter, with keys going forward only.
@@ -868,7 +868,7 @@
 
 const (
 	manySentries             = 20
-	togetherSlack, mostSlack = 0.55, 0.9  // share of slow answers let pass there: at the least and the most
+	togetherSlack, mostSlack = 0.6, 0.9  // share of slow answers let pass there: at the least and the most
 	collectors               = 3          // sentries that judge what all have seen
 	mostNamed                = 20         // workers that a report names with their misses
 	adviceFor                = 3 * second // for how long what a collector says counts
@@ -894,7 +894,7 @@
 	if !s.orders.MayMessage || s.now < s.poolNext {
 		return
 	}
-	s.poolNext = s.now + second/2
+	s.poolNext = s.now + second*3/4
 	if s.calmRate > 0 {
 		due := uint64(s.calmRate * float64(s.now-s.calmAt))
 		s.mine[len(s.mine)-2], s.mine[len(s.mine)-1] = due+s.came, s.came
