--- a/logic/logic.go
+++ b/logic/logic.go
@@ -496,7 +496,7 @@
 		}
 		s.forget(t)
 	case t.out():
-	case !s.mayRepeat(t) || h.mayRun && !s.quick(h) && s.spare < 1:
+	case !s.mayRepeat(t) || h.end.Ending != Unconnected && !s.quick(h) && s.spare < 1:
 		s.giveUp(t)
 	default:
 		s.spare -= one(!s.quick(h))
@@ -868,7 +868,7 @@
 
 const (
 	manySentries             = 20
-	togetherSlack, mostSlack = 0.6, 0.9  // share of slow answers let pass there: at the least and the most
+	togetherSlack, mostSlack = 0.6, 0.9   // share of slow answers let pass there: at the least and the most
 	collectors               = 3          // sentries that judge what all have seen
 	mostNamed                = 20         // workers that a report names with their misses
 	adviceFor                = 3 * second // for how long what a collector says counts
