--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,7 +43,7 @@
 	manyWorkers   = 8.0  // from so many of the trial on, a miss at any one says less
 	barShare      = 0.2  // share of the earlier build's answers that take longer than the bar
 	slowTimes     = 2.5  // a hand-off this many bars long counts as late
-	lateSlack     = 0.15 // excess of late ones over twice that rate that is let pass
+	lateSlack     = 0.2  // excess of late ones over twice that rate that is let pass
 	lateWeight    = 0.6  // times are noisy: seven late ones close together reach voteBackAt
 	rateFade      = 0.02
 	paceFade      = 0.12
