A miss counts in full whatever the number of workers where many judge together

Cause: what a miss counts fell with the number of workers beyond eight, so at full size a build that fails a few percent was seen after its release. The named misses of pooled reports tell few failing machines from a bad build by themselves.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -853,7 +853,7 @@
 	even := min(1, (s.missed+n)/(n*(s.misses[w]+1)))
 	s.missed++
 	s.misses[w]++
-	return even * even * min(1, manyWorkers/n)
+	return even * even * min(1, max(manyWorkers/n, one(s.together())))
 }
 
 // Complained takes a client's word that an answer was wrong: it counts as an error of that build.
