--- a/logic/logic.go
+++ b/logic/logic.go
@@ -796,7 +796,7 @@
 	if s.together() {
 		first := one(s.news.Stage == 0) // what is slow with next to no trial is no fault of it
 		s.firstSeen, s.firstSlow = s.firstSeen+first*n, s.firstSlow+first*slow
-		slack = max(togetherSlack, min(mostSlack, togetherSlack/2+s.firstSlow/max(1, s.firstSeen)))
+		slack = max(togetherSlack, min(mostSlack, 0.8*togetherSlack+s.firstSlow/max(1, s.firstSeen)))
 		slack *= s.byLoad(s.loadNow())
 	}
 	s.allSum = max(0, s.allSum+(slow-n*slack)*s.allMeter.part(s.now, n))
@@ -868,7 +868,7 @@
 
 const (
 	manySentries             = 20
-	togetherSlack, mostSlack = 0.6, 0.9   // share of slow answers let pass there: at the least and the most
+	togetherSlack, mostSlack = 0.45, 0.9  // share of slow answers let pass there: at the least and the most
 	collectors               = 3          // sentries that judge what all have seen
 	mostNamed                = 20         // workers that a report names with their misses
 	adviceFor                = 3 * second // for how long what a collector says counts
