Errors and lateness told apart in what workers miss; few workers' first misses count little

Cause: a fifth of the machines failing fast sent a good build back at size, since evenly spread late answers hid whose errors they were. Also covers any trouble that makes few workers fail; it could harm where a bad build runs on few of many workers and these alone are counted, so the count is of its own workers.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -4,9 +4,7 @@
 // How to call it: make one Sentry with New, from its StandingOrders and a seed, then make one call for each
 // thing that happens (Arrive, HandOffEnded, Listed, Told, ...), each with the caller's time. Every call
 // returns a Result; carry it out in order and call Wake when its WakeAt comes. Nothing else is kept or
-// shared. The types are in port.go.
-//
-// Reading order: the chain (admit, assign, pick, hand off), the workers, the list, the judge.
+// shared. The types are in port.go. Read the chain first (admit, assign, pick, hand off), the judge last.
 package logic
 
 import (
@@ -704,8 +702,6 @@
 	return float64(len(s.exposed[c])+1) <= s.orders.FreeExposure+s.news.Cap*taken
 }
 
-// ---- The judge ----
-
 // learnBuild books an ended hand-off with the builds: what the trial fails beyond the earlier build's rate
 // adds up.
 func (s *Sentry) learnBuild(t *transaction, h *handOff) {
@@ -725,9 +721,8 @@
 	age := s.now - s.start(h.worker)
 	warm := !failed && !h.untimed && age >= max(settleTime, s.orders.WarmUp)
 	slow := !failed && (h.end.Ending == TimedOut || took > bar)
-	miss := newest && (failed || slow)
-	weight := s.weigh(h.worker, miss)
-	s.ownMisses[h.worker] += uint64(one(miss))
+	weight := s.weigh(h.worker, kind(one(slow)), newest && (failed || slow))
+	s.ownMisses[h.worker] += uint64(one(newest && failed))
 	if warm {
 		s.judgeAll(p, took)
 	}
@@ -845,15 +840,19 @@
 // weigh counts a miss of a worker of the trial for less the more this worker has missed beyond its even part
 // of all. It guards against a machine's own trouble (failing fast, slow, shared with another program); it
 // costs time where a bad build has very few workers of which one gets most of the traffic.
-func (s *Sentry) weigh(w int, miss bool) float64 {
+func (s *Sentry) weigh(w int, k kind, miss bool) float64 {
 	if !miss {
 		return 1
 	}
 	n := max(1, float64(s.readyCount(s.workers[w].Build)))
-	even := min(1, (s.missed+n)/(n*(s.misses[w]+1)))
-	s.missed++
-	s.misses[w]++
-	return even * even * min(1, max(manyWorkers/n, one(s.together())))
+	prior, part := n, min(1, manyWorkers/n)
+	if s.together() { // so many misses a second that a few workers' first ones would do
+		prior, part = n*part, 1
+	}
+	even := min(1, (s.missed[k]+prior)/(n*(s.misses[k][w]+1)))
+	s.missed[k]++
+	s.misses[k][w]++
+	return even * even * part
 }
 
 // Complained takes a client's word that an answer was wrong: it counts as an error of that build.
@@ -861,7 +860,7 @@
 	return s.call(now, func() {
 		if w, known := s.index[c.Worker]; known && c.Profile >= 0 && int(c.Profile) < len(s.profiles)-1 {
 			newest := s.news.Valid && s.workers[w].Build == s.news.Build
-			s.observe(c.Profile, errs, newest, true, s.weigh(w, newest))
+			s.observe(c.Profile, errs, newest, true, s.weigh(w, errs, newest))
 		}
 	})
 }
@@ -938,7 +937,7 @@
 	s.reports[from] = r
 	weight, misses := 1.0, s.newMisses(old, r) // the mean of these counts for all that failed or were late
 	for _, w := range misses {
-		weight += (s.weigh(w, true) - 1) / float64(len(misses))
+		weight += (s.weigh(w, errs, true) - 1) / float64(len(misses))
 	}
 	for i := 0; i < len(r.counts); i += 2 {
 		n, hits := float64(r.counts[i]-old.counts[i]), float64(r.counts[i+1]-old.counts[i+1])
@@ -948,7 +947,7 @@
 		} else if n > 0 && all && s.together() { // few sentries see it each by itself, and sooner
 			s.sumAll(n, hits)
 		} else if n > 0 && !all {
-			s.judge(id, k, trial, n, hits*(1-one(trial)*(1-weight)))
+			s.judge(id, k, trial, n, hits*(1-one(trial && k == errs)*(1-weight)))
 		}
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -91,10 +91,10 @@
 	strikes   []int          // failed tries to reach it since it last answered
 	recent    [][]Micros     // hand-offs while cold
 	luckTill  []Micros
-	answered  []Micros  // last
-	gone      []Micros  // since when, if it is
-	luck      []float64 // what chance adds to their bound
-	misses    []float64 // what the judge counted against it in this trial
+	answered  []Micros         // last
+	gone      []Micros         // since when, if it is
+	luck      []float64        // what chance adds to their bound
+	misses    [kinds][]float64 // what the judge counted against it in this trial
 
 	usual    float64 // load of the fleet by this sentry's traffic, as it was lately
 	rosters  map[BuildID]*roster
@@ -111,12 +111,12 @@
 	sentBack             map[BuildID]bool
 	reach, judged        int // slots under reach go to the trial, outcomes judged
 	met                  map[Key]BuildID
-	taken                [][]Micros // transactions, by profile where exposure counts so, else all in the first
-	exposed              [][]Micros // hand-offs to the trial, likewise
-	baseSeen             Micros     // last outcome of the earlier build
-	missed               float64    // all misses of the trial's workers
-	mine                 []uint64   // outcomes counted
-	life                 uint64     // tells this run of the sentry from others
+	taken                [][]Micros     // transactions, by profile where exposure counts so, else all in the first
+	exposed              [][]Micros     // hand-offs to the trial, likewise
+	baseSeen             Micros         // last outcome of the earlier build
+	missed               [kinds]float64 // all misses of the trial's workers
+	mine                 []uint64       // outcomes counted
+	life                 uint64         // tells this run of the sentry from others
 	reports              map[SentryID]report
 	advice               Verdict // of the collectors
 	advisedAt            Micros
@@ -178,7 +178,7 @@
 	return at
 }
 
-// missed appends the misses of the workers that have any, for a report.
+// appendMisses appends the misses of the workers that have any, for a report.
 func (s *Sentry) appendMisses(values []uint64, most int) []uint64 {
 	for w, n := range s.ownMisses {
 		if n > 0 && most > 0 {
@@ -219,7 +219,10 @@
 		s.pace, s.faults = append(s.pace, 1), append(s.faults, 0)
 		s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
 		s.strikes, s.recent = append(s.strikes, 0), append(s.recent, nil)
-		s.misses, s.luck = append(s.misses, 0), append(s.luck, 0)
+		s.luck = append(s.luck, 0)
+		for k := range kinds {
+			s.misses[k] = append(s.misses[k], 0)
+		}
 		s.ownMisses, s.gone = append(s.ownMisses, 0), append(s.gone, 0)
 		s.answered, s.breaks = append(s.answered, 0), append(s.breaks, 0)
 		s.heard, s.luckTill = append(s.heard, 0), append(s.luckTill, 0)
@@ -385,8 +388,11 @@
 		s.gone[w] = s.now
 	}
 	if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
-		s.missed -= s.misses[w]
-		s.others[w], s.pace[w], s.faults[w], s.misses[w] = 0, 1, 0, 0
+		for k := range kinds {
+			s.missed[k] -= s.misses[k][w]
+			s.misses[k][w] = 0
+		}
+		s.others[w], s.pace[w], s.faults[w] = 0, 1, 0
 		s.shunned[w], s.revived[w], s.strikes[w], s.answered[w] = 0, 0, 0, 0
 		s.breaks[w] = 0
 	}
@@ -395,7 +401,7 @@
 
 // clearTrial forgets what was counted of the last trial.
 func (s *Sentry) clearTrial() {
-	s.reach, s.judged, s.allSum, s.blamed, s.missed = 0, 0, 0, false, 0
+	s.reach, s.judged, s.allSum, s.blamed, s.missed = 0, 0, 0, false, [kinds]float64{}
 	s.calmLoad, s.calmRate, s.came, s.firstSeen, s.firstSlow = 0, 0, 0, 0, 0
 	s.arrived, s.due = meter{}, meter{}
 	clear(s.again)
@@ -407,7 +413,9 @@
 		s.exposed[i] = nil
 	}
 	clear(s.met)
-	clear(s.misses)
+	for k := range kinds {
+		clear(s.misses[k])
+	}
 	clear(s.ownMisses)
 	s.mine = make([]uint64, place(ProfileID(len(s.profiles)-1), errs, false)+4)
 	s.reports, s.advice, s.advisedAt = map[SentryID]report{}, NoVerdict, 0
