--- a/logic/logic.go
+++ b/logic/logic.go
@@ -721,8 +721,9 @@
 	age := s.now - s.start(h.worker)
 	warm := !failed && !h.untimed && age >= max(settleTime, s.orders.WarmUp)
 	slow := !failed && (h.end.Ending == TimedOut || took > bar)
-	weight := s.weigh(h.worker, kind(one(slow)), newest && (failed || slow))
-	s.ownMisses[h.worker] += uint64(one(newest && failed))
+	k, miss := kind(one(slow)), newest && (failed || slow)
+	weight := s.weigh(h.worker, k, miss)
+	s.ownMisses[k][h.worker] += uint64(one(miss))
 	if warm {
 		s.judgeAll(p, took)
 	}
@@ -935,9 +936,9 @@
 		return
 	}
 	s.reports[from] = r
-	weight, misses := 1.0, s.newMisses(old, r) // the mean of these counts for all that failed or were late
-	for _, w := range misses {
-		weight += (s.weigh(w, errs, true) - 1) / float64(len(misses))
+	weight, misses := [kinds]float64{1, 1}, s.newMisses(old, r) // the mean of these counts for all that failed or were late
+	for _, m := range misses {
+		weight[m.kind] += (s.weigh(m.worker, m.kind, true) - 1) / m.of
 	}
 	for i := 0; i < len(r.counts); i += 2 {
 		n, hits := float64(r.counts[i]-old.counts[i]), float64(r.counts[i+1]-old.counts[i+1])
@@ -947,7 +948,7 @@
 		} else if n > 0 && all && s.together() { // few sentries see it each by itself, and sooner
 			s.sumAll(n, hits)
 		} else if n > 0 && !all {
-			s.judge(id, k, trial, n, hits*(1-one(trial && k == errs)*(1-weight)))
+			s.judge(id, k, trial, n, hits*(1-one(trial)*(1-weight[k])))
 		}
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -78,18 +78,18 @@
 	workers   []Worker
 	order     []int // all of them in an order of this sentry's own, by rank
 	rank      []float64
-	named     map[uint64]int // by short name
-	ownMisses []uint64       // of these misses, what this sentry saw itself
-	inHand    []int          // own open hand-offs
-	others    []float64      // reported load beyond these
-	pace      []float64      // time of answers to what is expected
-	faults    []float64      // smoothed share of failures
-	breaks    []float64      // of failures that no load explains
-	heard     []Micros       // last end of a hand-off
-	shunned   []Micros       // not before then
-	revived   []Micros       // answered then, after it had been down
-	strikes   []int          // failed tries to reach it since it last answered
-	recent    [][]Micros     // hand-offs while cold
+	named     map[uint64]int  // by short name
+	ownMisses [kinds][]uint64 // of these misses, what this sentry saw itself
+	inHand    []int           // own open hand-offs
+	others    []float64       // reported load beyond these
+	pace      []float64       // time of answers to what is expected
+	faults    []float64       // smoothed share of failures
+	breaks    []float64       // of failures that no load explains
+	heard     []Micros        // last end of a hand-off
+	shunned   []Micros        // not before then
+	revived   []Micros        // answered then, after it had been down
+	strikes   []int           // failed tries to reach it since it last answered
+	recent    [][]Micros      // hand-offs while cold
 	luckTill  []Micros
 	answered  []Micros         // last
 	gone      []Micros         // since when, if it is
@@ -163,27 +163,41 @@
 	return old, true
 }
 
-// newMisses lists the worker of each miss that a report tells and the one before it did not.
-func (s *Sentry) newMisses(old, r report) (at []int) {
-	before := map[uint64]uint64{}
+// miss is one failed or late outcome of a worker that a report tells, of so many new ones of its kind.
+type miss struct {
+	worker int
+	kind   kind
+	of     float64
+}
+
+// newMisses lists the misses that a report tells and the one before it did not.
+func (s *Sentry) newMisses(old, r report) (at []miss) {
+	before, of := map[uint64]uint64{}, [kinds]float64{}
 	for i := 0; i+1 < len(old.misses); i += 2 {
 		before[old.misses[i]] = old.misses[i+1]
 	}
 	for i := 0; i+1 < len(r.misses); i += 2 {
-		w, known := s.named[r.misses[i]]
+		k := kind(r.misses[i] % uint64(kinds))
+		w, known := s.named[r.misses[i]/uint64(kinds)]
 		for n := before[r.misses[i]]; known && n < r.misses[i+1] && len(at) < 1000; n++ {
-			at = append(at, w)
+			at = append(at, miss{worker: w, kind: k})
+			of[k]++
 		}
 	}
+	for i := range at {
+		at[i].of = of[at[i].kind]
+	}
 	return at
 }
 
 // appendMisses appends the misses of the workers that have any, for a report.
 func (s *Sentry) appendMisses(values []uint64, most int) []uint64 {
-	for w, n := range s.ownMisses {
-		if n > 0 && most > 0 {
-			values = append(values, shortName(s.workers[w].ID), n)
-			most--
+	for k := range kinds {
+		for w, n := range s.ownMisses[k] {
+			if n > 0 && most > 0 {
+				values = append(values, shortName(s.workers[w].ID)*uint64(kinds)+uint64(k), n)
+				most--
+			}
 		}
 	}
 	return values
@@ -221,9 +235,9 @@
 		s.strikes, s.recent = append(s.strikes, 0), append(s.recent, nil)
 		s.luck = append(s.luck, 0)
 		for k := range kinds {
-			s.misses[k] = append(s.misses[k], 0)
+			s.misses[k], s.ownMisses[k] = append(s.misses[k], 0), append(s.ownMisses[k], 0)
 		}
-		s.ownMisses, s.gone = append(s.ownMisses, 0), append(s.gone, 0)
+		s.gone = append(s.gone, 0)
 		s.answered, s.breaks = append(s.answered, 0), append(s.breaks, 0)
 		s.heard, s.luckTill = append(s.heard, 0), append(s.luckTill, 0)
 		s.rank = append(s.rank, 0)
@@ -231,7 +245,7 @@
 	s.workers[w] = Worker{Build: -1}
 	s.renew(w, in)
 	s.index[in.ID], s.named[shortName(in.ID)], s.rank[w] = w, w, rank
-	s.ownMisses[w], s.heard[w], s.luckTill[w], s.recent[w] = 0, 0, 0, nil
+	s.heard[w], s.luckTill[w], s.recent[w] = 0, 0, nil
 	at, _ := slices.BinarySearchFunc(s.order, rank, func(v int, r float64) int { return cmp.Compare(s.rank[v], r) })
 	s.order = slices.Insert(s.order, at, w)
 	return w
@@ -390,7 +404,7 @@
 	if old := s.workers[w]; old.Build != in.Build || old.Started != in.Started {
 		for k := range kinds {
 			s.missed[k] -= s.misses[k][w]
-			s.misses[k][w] = 0
+			s.misses[k][w], s.ownMisses[k][w] = 0, 0
 		}
 		s.others[w], s.pace[w], s.faults[w] = 0, 1, 0
 		s.shunned[w], s.revived[w], s.strikes[w], s.answered[w] = 0, 0, 0, 0
@@ -415,8 +429,8 @@
 	clear(s.met)
 	for k := range kinds {
 		clear(s.misses[k])
+		clear(s.ownMisses[k])
 	}
-	clear(s.ownMisses)
 	s.mine = make([]uint64, place(ProfileID(len(s.profiles)-1), errs, false)+4)
 	s.reports, s.advice, s.advisedAt = map[SentryID]report{}, NoVerdict, 0
 }
