--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,7 +56,7 @@
 	farther       = 1.0        // a worker of another zone joins a working set so much later
 	lookAt        = 4          // of the set, to this sentry's share: more would run after the same news
 	idle          = 0.5        // up to this load workers are alike, and chance decides
-	freeCold      = 6.0        // hand-offs to a cold worker that few sentries may always send
+	freeCold      = 3.0        // hand-offs to a cold worker that few sentries may always send
 	usualFade     = 0.02       // for each quarter second
 	coldPart      = 0.5        // of the stated multiple, what a cold worker may get
 )
@@ -98,8 +98,6 @@
 	return s.out
 }
 
-// ---- The chain ----
-
 // A stage passes a transaction on or keeps or ends it, and sees each ended hand-off on its way back.
 type stage struct {
 	ahead func(*Sentry, *transaction) bool
@@ -444,7 +442,7 @@
 	t.sends = append(t.sends, h)
 	s.inHand[w]++
 	s.busy++
-	s.recent[w] = append(s.recent[w], s.now)
+	s.recent[w], s.handed = append(s.recent[w], s.now), append(s.handed, s.now)
 	if trial, onTrial := s.trial(); onTrial && s.workers[w].Build == trial {
 		s.exposed[s.counter(t)] = append(s.exposed[s.counter(t)], s.now)
 	}
@@ -775,8 +773,8 @@
 
 // judgeAll compares all workers, of either build, with what answers took before the trial began: a build may
 // slow the whole fleet. Nothing is held against it where the fleet bears clearly more than then (a burst,
-// workers lost), where a quarter of the workers (of many sentries' answers, half) is as quick as ever, or long after
-// the release. It can harm a build when the whole fleet slows down for a reason that no load shows.
+// workers lost), where a quarter of the workers (of many sentries' answers, half) is as quick as ever, or long
+// after the release. It can harm a build when the whole fleet slows down for a reason that no load shows.
 func (s *Sentry) judgeAll(p *profileRow, took float64) {
 	if !s.watched() || p.calm == 0 {
 		return
@@ -936,7 +934,7 @@
 		return
 	}
 	s.reports[from] = r
-	weight, misses := [kinds]float64{1, 1}, s.newMisses(old, r) // the mean of these counts for all that failed or were late
+	weight, misses := [kinds]float64{1, 1}, s.newMisses(old, r) // their mean counts for all hits
 	for _, m := range misses {
 		weight[m.kind] += (s.weigh(m.worker, m.kind, true) - 1) / m.of
 	}
@@ -961,7 +959,8 @@
 	s.voteNext = s.now + second/4
 	s.survey()
 	if s.usual == 0 || s.news.Phase != GoingBack {
-		s.usual += max(usualFade, one(s.usual == 0)) * (s.load() - s.usual)
+		s.handed = trim(s.handed, s.now-s.span) // not what comes: under overload that is more than workers bear
+		s.usual += max(usualFade, one(s.usual == 0)) * (float64(len(s.handed))/max(s.fleetCan, 1e-9) - s.usual)
 	}
 	if !s.news.Valid || s.news.Phase != OnTrial && s.news.Phase != Released {
 		return
--- a/logic/state.go
+++ b/logic/state.go
@@ -69,9 +69,10 @@
 	outermost Micros // limit of any transaction
 	span      Micros // how long arrivals are kept
 	arrivals  []Micros
-	spare     float64 // further hand-offs that the budget still bears
-	busy      int     // own open hand-offs
-	room      float64 // and how many there may be
+	handed    []Micros // hand-offs, as long
+	spare     float64  // further hand-offs that the budget still bears
+	busy      int      // own open hand-offs
+	room      float64  // and how many there may be
 
 	// Workers, under a dense index.
 	index     map[WorkerID]int
