--- a/logic/logic.go
+++ b/logic/logic.go
@@ -774,7 +774,7 @@
 // judgeAll compares all workers, of either build, with what answers took before the trial began: a build may
 // slow the whole fleet. Nothing is held against it where the fleet bears clearly more than then (a burst,
 // workers lost), where a quarter of the workers (of many sentries' answers, half) is as quick as ever, or
-// long after the release. It can harm a build when the whole fleet slows down for a reason that no load shows.
+// long after the release. It can harm a build when all slow down for a reason that no load shows.
 func (s *Sentry) judgeAll(p *profileRow, took float64) {
 	if !s.watched() || p.calm == 0 {
 		return
