Tidying after a reread: who collects asked once a verdict, a new row cleared once

The search for a row to use again looked each worker up by its id though its row was at hand, and a new row was renewed twice.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -978,12 +978,12 @@
 }
 
 func (s *Sentry) verdict() Verdict {
-	o, patience, limit, sums := &s.orders, noAlarmTime, voteBackAt, s.sums()
-	if alone := !o.MayMessage || !s.collects(); alone { // the more may vote, the less a chance sum may decide
+	o, patience, limit, sums, collects := &s.orders, noAlarmTime, voteBackAt, s.sums(), s.collects()
+	if !o.MayMessage || !collects { // the more may vote, the less a chance sum may decide
 		limit += math.Log(1 + float64(o.Sentries)/float64(10*max(1, o.BackVotes)))
 		sums = sums[int(one(s.together())):] // what is slow among all it does not see
 	}
-	if s.advisedAt > s.now-adviceFor && !s.collects() && (s.together() || s.allSum <= limit) {
+	if s.advisedAt > s.now-adviceFor && !collects && (s.together() || s.allSum <= limit) {
 		if max(o.OnVotes, o.BackVotes, o.HoldVotes) <= collectors || s.advisedOn != s.news.Stage {
 			return NoVerdict // theirs are enough, or not yet of this stage
 		}
@@ -993,7 +993,7 @@
 	if s.blamed = s.blamed || sum > limit; s.blamed {
 		return GoBack
 	}
-	patience *= 1 + Micros(2*one(o.MayMessage && !s.collects())) // others may know more
+	patience *= 1 + Micros(2*one(o.MayMessage && !collects)) // others may know more
 	r := s.rosters[s.news.Build]
 	switch timer := o.Control == ControlTimer; {
 	case s.news.Phase == Released || r == nil || len(r.ready) == 0:
--- a/logic/state.go
+++ b/logic/state.go
@@ -220,15 +220,14 @@
 // addWorker gives a new worker a row, one of a worker long gone if there is one, and its place in this sentry's
 // order.
 func (s *Sentry) addWorker(in Worker, rank float64) int {
-	w := slices.IndexFunc(s.workers, func(old Worker) bool {
-		v := s.index[old.ID]
-		return old.State == Gone && s.inHand[v] == 0 && s.now-s.gone[v] > s.outermost
-	})
-	if w >= 0 {
+	w := 0
+	for w < len(s.workers) && !(s.workers[w].State == Gone && s.inHand[w] == 0 && s.now-s.gone[w] > s.outermost) {
+		w++
+	}
+	if w < len(s.workers) {
 		delete(s.index, s.workers[w].ID)
 		s.order = slices.DeleteFunc(s.order, func(v int) bool { return v == w })
 	} else {
-		w = len(s.workers)
 		s.workers = append(s.workers, Worker{})
 		s.inHand, s.others = append(s.inHand, 0), append(s.others, 0)
 		s.pace, s.faults = append(s.pace, 1), append(s.faults, 0)
@@ -243,8 +242,7 @@
 		s.heard, s.luckTill = append(s.heard, 0), append(s.luckTill, 0)
 		s.rank = append(s.rank, 0)
 	}
-	s.workers[w] = Worker{Build: -1}
-	s.renew(w, in)
+	s.workers[w] = Worker{Build: -1} // none: the line that renews the row clears it
 	s.index[in.ID], s.named[shortName(in.ID)], s.rank[w] = w, w, rank
 	s.heard[w], s.luckTill[w], s.recent[w] = 0, 0, nil
 	at, _ := slices.BinarySearchFunc(s.order, rank, func(v int, r float64) int { return cmp.Compare(s.rank[v], r) })
