--- /dev/null
+++ b/cmd/scalechute/main.go
@@ -0,0 +1,108 @@
+// Command scalechute is the release controller: the sentry that routes transactions between builds, and the tools
+// around it.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"scalechute/internal/orders"
+	"scalechute/internal/sentry"
+)
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	c := &cobra.Command{
+		Use:           "scalechute",
+		Short:         "Release controller with the router that moves traffic between builds",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	c.AddCommand(sentryCommand(), checkCommand(), drillCommand())
+	return c
+}
+
+func sentryCommand() *cobra.Command {
+	var config, level, breach string
+	c := &cobra.Command{
+		Use:   "sentry --config FILE",
+		Short: "Run one sentry until SIGTERM; it then takes nothing new and answers all it holds",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			sheet, err := orders.Load(config)
+			if err != nil {
+				return err
+			}
+			at, err := zerolog.ParseLevel(level)
+			if err != nil {
+				return fmt.Errorf("level: found %q, expected debug, info, warn or error", level)
+			}
+			broken, err := sentry.ParseBreach(breach)
+			if err != nil {
+				return err
+			}
+			zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
+			log := zerolog.New(os.Stderr).Level(at).With().Timestamp().
+				Int("sentry", int(sheet.Standing.Position)).Logger()
+			if broken != sentry.NoBreach {
+				log.Warn().Str("rule", breach).Msg("this sentry breaks a rule on purpose")
+			}
+			signals := make(chan os.Signal, 1)
+			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+			s, err := sentry.Start(sheet, sentry.Options{Log: log, Break: broken})
+			if err != nil {
+				return err
+			}
+			go func() {
+				for range signals {
+					s.Stop()
+				}
+			}()
+			<-s.Done()
+			return nil
+		},
+	}
+	c.Flags().StringVar(&config, "config", "", "the sentry's orders (HCL)")
+	c.Flags().StringVar(&level, "level", "info", "least level of what is logged")
+	c.Flags().StringVar(&breach, "break", "", "break a rule on purpose: answer, effect, drain, cold or exposure")
+	_ = c.MarkFlagRequired("config")
+	_ = c.Flags().MarkHidden("break")
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Check sentries' orders; each fault is a line with file, line and what was expected",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			bad := 0
+			for _, name := range files {
+				sheet, err := orders.Load(name)
+				if err != nil {
+					bad++
+					fmt.Fprintln(c.ErrOrStderr(), err)
+					continue
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: good; sentry %d of %d, %d profiles, %d accounts, %d zones\n", name,
+					sheet.Standing.Position, sheet.Standing.Sentries, len(sheet.ProfileNames), len(sheet.AccountNames),
+					len(sheet.Zones))
+			}
+			if bad > 0 {
+				return fmt.Errorf("%d of %d files have faults", bad, len(files))
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/hclread/read.go
@@ -0,0 +1,345 @@
+// Package hclread reads HCL files whose every figure is checked: each fault is one line with file, line, what was
+// found and what was expected, and a name that nobody asked for is a fault.
+package hclread
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/zclconf/go-cty/cty"
+	"github.com/zclconf/go-cty/cty/gocty"
+
+	"scalechute/logic"
+)
+
+// Faults are all that is wrong with a file, in the order of its lines.
+type Faults []Fault
+
+// Fault is one line for a person.
+type Fault struct {
+	File         string
+	Line, Column int
+	Text         string
+}
+
+func (f Fault) String() string { return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Text) }
+
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i := range f {
+		lines[i] = f[i].String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// File is one file as read.
+type File struct {
+	Name   string
+	Source []byte
+	Root   *Body
+	faults *Faults
+}
+
+// Open reads and parses a file.
+func Open(name string) (*File, error) {
+	source, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(name, source)
+}
+
+// Parse is Open for what was read already.
+func Parse(name string, source []byte) (*File, error) {
+	parsed, diags := hclsyntax.ParseConfig(source, name, hcl.InitialPos)
+	f := &File{Name: name, Source: source, faults: &Faults{}}
+	if diags.HasErrors() {
+		for _, d := range diags.Errs() {
+			d, ok := d.(*hcl.Diagnostic)
+			if !ok || d.Subject == nil {
+				*f.faults = append(*f.faults, Fault{name, 1, 1, "not HCL"})
+				continue
+			}
+			text := strings.ReplaceAll(d.Summary+": "+d.Detail, "\n", " ")
+			*f.faults = append(*f.faults, Fault{name, d.Subject.Start.Line, d.Subject.Start.Column, text})
+		}
+		return nil, *f.faults
+	}
+	f.Root = &Body{file: f, body: parsed.Body.(*hclsyntax.Body), seen: map[string]bool{}}
+	return f, nil
+}
+
+// Err is nil if no fault was found.
+func (f *File) Err() error {
+	if len(*f.faults) == 0 {
+		return nil
+	}
+	sort.SliceStable(*f.faults, func(i, j int) bool { return (*f.faults)[i].Line < (*f.faults)[j].Line })
+	return *f.faults
+}
+
+// Body is the file itself or one block of it.
+type Body struct {
+	Kind   string
+	Labels []string
+	file   *File
+	body   *hclsyntax.Body
+	at     hcl.Range
+	seen   map[string]bool
+}
+
+// Fault books a fault at the place of this block.
+func (b *Body) Fault(format string, args ...any) { b.fault(b.at, format, args...) }
+
+func (b *Body) fault(at hcl.Range, format string, args ...any) {
+	*b.file.faults = append(*b.file.faults,
+		Fault{b.file.Name, max(1, at.Start.Line), max(1, at.Start.Column), fmt.Sprintf(format, args...)})
+}
+
+// FaultAt books a fault at one of the block's values.
+func (b *Body) FaultAt(name, format string, args ...any) {
+	at := b.at
+	if a, ok := b.body.Attributes[name]; ok {
+		at = a.SrcRange
+	}
+	b.fault(at, name+": "+format, args...)
+}
+
+// Source is the block as it stands in the file.
+func (b *Body) Source() []byte {
+	r := b.body.Range()
+	return b.file.Source[b.at.Start.Byte:r.End.Byte]
+}
+
+// Blocks are those of a kind, with so many labels each.
+func (b *Body) Blocks(kind string, labels int) (found []*Body) {
+	b.seen["block "+kind] = true
+	for _, x := range b.body.Blocks {
+		if x.Type != kind {
+			continue
+		}
+		if len(x.Labels) != labels {
+			b.fault(x.DefRange(), "block %s has %d labels, expected %d", kind, len(x.Labels), labels)
+			continue
+		}
+		found = append(found, &Body{Kind: kind, Labels: x.Labels, file: b.file, body: x.Body, at: x.DefRange(),
+			seen: map[string]bool{}})
+	}
+	return found
+}
+
+// Block is the only one of a kind. If it is missing and must be there, that is a fault; the body that comes back
+// then is empty.
+func (b *Body) Block(kind string, must bool) *Body {
+	all := b.Blocks(kind, 0)
+	if len(all) > 1 {
+		all[1].Fault("block %s stands twice, expected once", kind)
+	}
+	if len(all) > 0 {
+		return all[0]
+	}
+	if must {
+		b.Fault("no block %s, expected one", kind)
+	}
+	return &Body{Kind: kind, file: b.file, body: &hclsyntax.Body{}, at: b.at, seen: map[string]bool{}}
+}
+
+// Has says whether a value is given.
+func (b *Body) Has(name string) bool { return b.body.Attributes[name] != nil }
+
+func (b *Body) value(name string, must bool, want string) (cty.Value, hcl.Range, bool) {
+	b.seen[name] = true
+	a, ok := b.body.Attributes[name]
+	if !ok {
+		if must {
+			b.Fault("%s has no %s, expected %s", b.title(), name, want)
+		}
+		return cty.NilVal, b.at, false
+	}
+	v, diags := a.Expr.Value(nil)
+	if diags.HasErrors() || !v.IsWhollyKnown() || v.IsNull() {
+		b.fault(a.SrcRange, "%s: found no plain value, expected %s", name, want)
+		return cty.NilVal, a.SrcRange, false
+	}
+	return v, a.SrcRange, true
+}
+
+func (b *Body) title() string {
+	if b.Kind == "" {
+		return "the file"
+	}
+	return strings.TrimSpace("block " + b.Kind + " " + strings.Join(b.Labels, " "))
+}
+
+func show(v cty.Value) string {
+	switch {
+	case v.Type() == cty.String:
+		return fmt.Sprintf("%q", v.AsString())
+	case v.Type() == cty.Number:
+		return v.AsBigFloat().Text('g', 10)
+	case v.Type() == cty.Bool:
+		return fmt.Sprint(v.True())
+	default:
+		return "a " + v.Type().FriendlyName()
+	}
+}
+
+// Text is a string that is not empty.
+func (b *Body) Text(name string, must bool, otherwise string) string {
+	v, at, ok := b.value(name, must, "a text")
+	if !ok {
+		return otherwise
+	}
+	if v.Type() != cty.String || v.AsString() == "" {
+		b.fault(at, "%s: found %s, expected a text", name, show(v))
+		return otherwise
+	}
+	return v.AsString()
+}
+
+// Word is one of a few, given as its place among them.
+func (b *Body) Word(name string, must bool, otherwise int, of ...string) int {
+	want := "one of " + strings.Join(of, ", ")
+	v, at, ok := b.value(name, must, want)
+	if !ok {
+		return otherwise
+	}
+	if v.Type() == cty.String {
+		if i := slices.Index(of, v.AsString()); i >= 0 {
+			return i
+		}
+	}
+	b.fault(at, "%s: found %s, expected %s", name, show(v), want)
+	return otherwise
+}
+
+// Flag is true or false.
+func (b *Body) Flag(name string, otherwise bool) bool {
+	v, at, ok := b.value(name, false, "true or false")
+	if !ok {
+		return otherwise
+	}
+	if v.Type() != cty.Bool {
+		b.fault(at, "%s: found %s, expected true or false", name, show(v))
+		return otherwise
+	}
+	return v.True()
+}
+
+// Figure is a number between two others, both allowed.
+func (b *Body) Figure(name string, must bool, otherwise, least, most float64) float64 {
+	want := fmt.Sprintf("a number from %g to %g", least, most)
+	v, at, ok := b.value(name, must, want)
+	if !ok {
+		return otherwise
+	}
+	return b.figure(name, v, at, want, otherwise, least, most)
+}
+
+func (b *Body) figure(name string, v cty.Value, at hcl.Range, want string, otherwise, least, most float64) float64 {
+	var x float64
+	if v.Type() != cty.Number || gocty.FromCtyValue(v, &x) != nil || !(x >= least && x <= most) {
+		b.fault(at, "%s: found %s, expected %s", name, show(v), want)
+		return otherwise
+	}
+	return x
+}
+
+// Whole is a whole number between two others, both allowed.
+func (b *Body) Whole(name string, must bool, otherwise, least, most int) int {
+	want := fmt.Sprintf("a whole number from %d to %d", least, most)
+	v, at, ok := b.value(name, must, want)
+	if !ok {
+		return otherwise
+	}
+	x := b.figure(name, v, at, want, float64(otherwise), float64(least), float64(most))
+	if x != float64(int(x)) {
+		b.fault(at, "%s: found %s, expected %s", name, show(v), want)
+		return otherwise
+	}
+	return int(x)
+}
+
+// Span is a time such as "250ms", between two others.
+func (b *Body) Span(name string, must bool, otherwise, least, most time.Duration) logic.Micros {
+	want := fmt.Sprintf("a span from %v to %v", least, most)
+	v, at, ok := b.value(name, must, want)
+	if !ok {
+		return logic.Micros(otherwise / time.Microsecond)
+	}
+	if v.Type() == cty.String {
+		d, err := time.ParseDuration(v.AsString())
+		if err == nil && d >= least && d <= most && d%time.Microsecond == 0 {
+			return logic.Micros(d / time.Microsecond)
+		}
+	}
+	b.fault(at, "%s: found %s, expected %s in whole microseconds", name, show(v), want)
+	return logic.Micros(otherwise / time.Microsecond)
+}
+
+// Figures is a list of numbers, each between two others.
+func (b *Body) Figures(name string, must bool, least, most float64) (all []float64) {
+	want := fmt.Sprintf("a list of numbers from %g to %g", least, most)
+	for _, x := range b.list(name, must, want) {
+		all = append(all, b.figure(name, x, b.body.Attributes[name].SrcRange, want, least, least, most))
+	}
+	return all
+}
+
+// Texts is a list of strings.
+func (b *Body) Texts(name string, must bool) (all []string) {
+	for _, x := range b.list(name, must, "a list of texts") {
+		if x.Type() != cty.String || x.AsString() == "" {
+			b.FaultAt(name, "found %s in it, expected a text", show(x))
+			continue
+		}
+		all = append(all, x.AsString())
+	}
+	return all
+}
+
+func (b *Body) list(name string, must bool, want string) (all []cty.Value) {
+	v, at, ok := b.value(name, must, want)
+	if !ok {
+		return nil
+	}
+	if !v.Type().IsTupleType() {
+		b.fault(at, "%s: found %s, expected %s", name, show(v), want)
+		return nil
+	}
+	return v.AsValueSlice()
+}
+
+// Done books a fault for each name of the block that nobody asked for.
+func (b *Body) Done() {
+	for name, a := range b.body.Attributes {
+		if !b.seen[name] {
+			b.fault(a.SrcRange, "%s: unknown in %s, expected one of %s", name, b.title(), b.known(""))
+		}
+	}
+	for _, x := range b.body.Blocks {
+		if !b.seen["block "+x.Type] {
+			b.fault(x.DefRange(), "block %s: unknown in %s, expected one of %s", x.Type, b.title(), b.known("block "))
+		}
+	}
+}
+
+func (b *Body) known(prefix string) string {
+	var names []string
+	for name := range b.seen {
+		if rest, is := strings.CutPrefix(name, "block "); is == (prefix != "") {
+			names = append(names, rest)
+		}
+	}
+	if len(names) == 0 {
+		return "none"
+	}
+	slices.Sort(names)
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/orders/orders.go
@@ -0,0 +1,267 @@
+// Package orders reads the operator's file: the standing orders of the decision module, and where the sentry
+// listens and whom it speaks to.
+package orders
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"scalechute/internal/hclread"
+	"scalechute/logic"
+)
+
+// Sheet is what an operator's file says.
+type Sheet struct {
+	Standing     logic.StandingOrders
+	ProfileNames []string
+	AccountNames []string
+	Zones        []string
+	Post         Post
+	Bounds       Bounds
+}
+
+// Post is where one sentry stands.
+type Post struct {
+	Listen  string
+	Metrics string // empty if none
+	Memory  string // file of the last list
+	List    string
+	Desk    string
+	Peers   map[logic.SentryID]string
+	Seed    int64
+}
+
+// Bounds are what the sentry holds at the most. They are limits of the program, not of the module.
+type Bounds struct {
+	Inbox              int // inputs that wait for the loop
+	Open               int // transactions open
+	Connections        int // to one worker
+	HandOffsConnection int // at one time on a connection
+	Frame              int // bytes of a message
+	Unwritten          int // bytes that wait for a socket
+}
+
+// Load reads a sentry's file and checks it whole.
+func Load(name string) (*Sheet, error) {
+	f, err := hclread.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	return read(f)
+}
+
+// Parse is Load for what was read already.
+func Parse(name string, source []byte) (*Sheet, error) {
+	f, err := hclread.Parse(name, source)
+	if err != nil {
+		return nil, err
+	}
+	return read(f)
+}
+
+func read(f *hclread.File) (*Sheet, error) {
+	s := Shared(f.Root)
+	s.post(f.Root.Block("sentry", true))
+	f.Root.Done()
+	return s, f.Err()
+}
+
+// SharedBlocks names the blocks that all sentries of a deployment have in common.
+var SharedBlocks = []string{"deployment", "profile", "account", "allowed", "list", "rules", "trial", "prices", "bounds"}
+
+const (
+	ms   = time.Millisecond
+	hour = time.Hour
+)
+
+// Shared reads what all sentries of a deployment have in common. Faults are booked with the file.
+func Shared(root *hclread.Body) *Sheet {
+	s := &Sheet{}
+	o := &s.Standing
+	d := root.Block("deployment", true)
+	o.Sentries = d.Whole("sentries", true, 1, 1, 10_000)
+	s.Zones = d.Texts("zones", true)
+	d.Done()
+	for i, z := range s.Zones {
+		for _, other := range s.Zones[:i] {
+			if other == z {
+				d.FaultAt("zones", "found %q twice, expected each zone once", z)
+			}
+		}
+	}
+	s.profiles(root)
+	s.accounts(root)
+	s.allowed(root.Block("allowed", true))
+	s.list(root.Block("list", true))
+	s.rules(root.Block("rules", true))
+	s.trial(root.Block("trial", true))
+	p := root.Block("prices", false)
+	o.BehindPrice = p.Figure("behind", false, 0, 0, 10)
+	o.HarmPrice = p.Figure("harm", false, 0, 0, 100)
+	o.CrossPrice = p.Figure("cross", false, 0, 0, 1)
+	o.WastePrice = p.Figure("waste", false, 0, 0, 1)
+	o.OverShareValue = p.Figure("over_share_value", false, 1, 0, 1)
+	p.Done()
+	b := root.Block("bounds", false)
+	s.Bounds = Bounds{
+		Inbox: b.Whole("inbox", false, 16384, 64, 1<<20), Open: b.Whole("open", false, 20_000, 1, 1<<20),
+		Connections:        b.Whole("connections_per_worker", false, 8, 1, 1024),
+		HandOffsConnection: b.Whole("hand_offs_per_connection", false, 32, 1, 1<<16),
+		Frame:              b.Whole("frame_bytes", false, 4<<20, 4096, 64<<20),
+		Unwritten:          b.Whole("unwritten_bytes", false, 1<<20, 4096, 256<<20),
+	}
+	b.Done()
+	return s
+}
+
+func (s *Sheet) profiles(root *hclread.Body) {
+	for _, b := range root.Blocks("profile", 1) {
+		p := logic.Profile{
+			DueTime:    b.Span("due_time", true, ms, ms, hour),
+			OuterLimit: b.Span("outer_limit", true, hour, ms, 24*hour),
+			Value:      b.Figure("value", false, 1, 0, 1e9),
+			LateShare:  b.Figure("late_share", false, 0, 0, 1),
+			Repeat:     logic.Repeat(b.Word("repeat", true, int(logic.Irreversible), "redoable", "labelled", "irreversible")),
+		}
+		labelled := p.Repeat == logic.Labelled
+		p.Scope = logic.Scope(b.Word("scope", labelled, 0, "all", "zone", "cell"))
+		p.Window = b.Span("window", labelled, 0, ms, hour)
+		if !labelled && (b.Has("scope") || b.Has("window")) {
+			b.Fault("profile %s has a scope or window, expected them with repeat = \"labelled\" only", b.Labels[0])
+		}
+		if p.OuterLimit < p.DueTime {
+			b.FaultAt("outer_limit", "found less than due_time, expected at least as much")
+		}
+		for _, other := range s.ProfileNames {
+			if other == b.Labels[0] {
+				b.Fault("profile %s stands twice, expected once", other)
+			}
+		}
+		b.Done()
+		s.ProfileNames = append(s.ProfileNames, b.Labels[0])
+		s.Standing.Profiles = append(s.Standing.Profiles, p)
+	}
+	if len(s.ProfileNames) == 0 {
+		root.Fault("no block profile, expected at least one")
+	}
+}
+
+func (s *Sheet) accounts(root *hclread.Body) {
+	total := 0.0
+	for _, b := range root.Blocks("account", 1) {
+		a := logic.Account{Share: b.Figure("share", true, 0, 0, 1), Quota: b.Figure("quota", true, 0, 0, 1e9)}
+		b.Done()
+		if total += a.Share; total > 1+1e-9 {
+			b.FaultAt("share", "found %g over all accounts so far, expected at most 1", total)
+		}
+		s.AccountNames = append(s.AccountNames, b.Labels[0])
+		s.Standing.Accounts = append(s.Standing.Accounts, a)
+	}
+}
+
+func (s *Sheet) allowed(b *hclread.Body) {
+	o := &s.Standing
+	o.MayProbe, o.MayCancel = b.Flag("probes", false), b.Flag("cancel", true)
+	o.MayCopy, o.MayMessage = b.Flag("copies", false), b.Flag("messages", false)
+	o.MayNameReturn = b.Flag("name_return", true)
+	o.MostHandOffs = b.Whole("hand_offs", false, 3, 1, 100)
+	o.MostReturn = b.Span("most_return", false, time.Second, 0, hour)
+	o.ConnectLimit = b.Span("connect_limit", false, 250*ms, ms, time.Minute)
+	o.IdleClose = b.Span("idle_close", false, 30*time.Second, 0, 24*hour)
+	b.Done()
+}
+
+func (s *Sheet) list(b *hclread.Body) {
+	o := &s.Standing
+	o.AskForList = b.Flag("ask", false)
+	o.AskWithin = b.Span("ask_within", o.AskForList, 10*time.Second, 100*ms, hour)
+	b.Done()
+}
+
+func (s *Sheet) rules(b *hclread.Body) {
+	o := &s.Standing
+	o.Tick = b.Span("tick", false, 5*ms, time.Microsecond, time.Second)
+	o.AnswerGrace = b.Span("answer_grace", true, 20*ms, 0, time.Minute)
+	o.DrainGrace = b.Span("drain_grace", true, 2*time.Second, 0, time.Minute)
+	o.ColdFrom = b.Figure("cold_from", true, 1, 0.01, 1)
+	o.WarmUp = b.Span("warm_up", true, 0, 0, hour)
+	o.FallMultiple = b.Figure("fall_multiple", true, 4, 1, 1000)
+	o.FallSpan = b.Span("fall_span", true, time.Second, 10*ms, time.Minute)
+	b.Done()
+}
+
+func (s *Sheet) trial(b *hclread.Body) {
+	o := &s.Standing
+	o.Control = logic.Control(b.Word("control", true, 0, "any", "share", "timer"))
+	o.BesideEarlier = b.Word("layout", false, 0, "beside", "in_place") == 0
+	o.StageShares = b.Figures("stage_shares", true, 0, 1)
+	o.StageCaps = b.Figures("stage_caps", true, 0, 1)
+	o.FreeExposure = b.Figure("free", true, 0, 0, 1e6)
+	o.ExposureWindow = b.Span("window", true, 4*time.Second, 10*ms, hour)
+	o.ExposureByProfile = b.Flag("by_profile", false)
+	o.GuardedStages = b.Whole("guarded_stages", false, 0, 0, 100)
+	o.ForwardOnly = b.Flag("forward_only", false)
+	timer := o.Control == logic.ControlTimer
+	o.OnVotes = b.Whole("on_votes", !timer, 0, 0, 10_000)
+	o.HoldVotes = b.Whole("hold_votes", timer, 0, 0, 10_000)
+	o.BackVotes = b.Whole("back_votes", true, 1, 1, 10_000)
+	o.VoteLife = b.Span("vote_life", true, 6*time.Second, 10*ms, hour)
+	o.VoteWait = b.Span("vote_wait", true, time.Second, 10*ms, time.Minute)
+	o.VotesPerSecond = b.Figure("votes_per_second", false, 100, 0.01, 1e6)
+	o.Bake = b.Span("bake", true, time.Second, 0, 24*hour)
+	o.ComplaintShare = b.Figure("complaint_share", false, 0, 0, 1)
+	b.Done()
+	if len(o.StageCaps) != len(o.StageShares) || len(o.StageCaps) == 0 {
+		b.FaultAt("stage_caps", "found %d, expected as many as stage_shares (%d) and one at least",
+			len(o.StageCaps), len(o.StageShares))
+	}
+	for name, list := range map[string][]float64{"stage_caps": o.StageCaps, "stage_shares": o.StageShares} {
+		for i := 1; i < len(list); i++ {
+			if list[i] < list[i-1] {
+				b.FaultAt(name, "found %g after %g, expected none to fall", list[i], list[i-1])
+			}
+		}
+	}
+	if o.OnVotes > o.Sentries || o.BackVotes > o.Sentries {
+		b.Fault("more votes wanted than there are sentries (%d)", o.Sentries)
+	}
+}
+
+func (s *Sheet) post(b *hclread.Body) {
+	o, p := &s.Standing, &s.Post
+	o.Position = logic.SentryID(b.Whole("position", true, 0, 0, max(0, o.Sentries-1)))
+	zones := s.Zones
+	if len(zones) == 0 {
+		zones = []string{"(none)"}
+	}
+	o.Zone = logic.ZoneID(b.Word("zone", true, 0, zones...))
+	p.Listen = address(b, "listen", true)
+	p.Metrics = address(b, "metrics", false)
+	p.List = address(b, "list", true)
+	p.Desk = address(b, "desk", true)
+	p.Memory = b.Text("memory", true, "")
+	p.Seed = int64(b.Whole("seed", false, 0, 0, 1<<53))
+	p.Peers = map[logic.SentryID]string{}
+	for _, x := range b.Blocks("peer", 1) {
+		n, err := strconv.Atoi(x.Labels[0])
+		if err != nil || n < 0 || n >= o.Sentries || logic.SentryID(n) == o.Position {
+			x.Fault("peer %q, expected the position of another sentry, 0 to %d", x.Labels[0], o.Sentries-1)
+		}
+		p.Peers[logic.SentryID(n)] = address(x, "address", true)
+		x.Done()
+	}
+	b.Done()
+}
+
+func address(b *hclread.Body, name string, must bool) string {
+	text := b.Text(name, must, "")
+	if text == "" {
+		return ""
+	}
+	host, port, err := net.SplitHostPort(text)
+	if n, bad := strconv.Atoi(port); err != nil || bad != nil || n < 0 || n > 65535 || host == "" {
+		b.FaultAt(name, "found %q, expected host:port", text)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/sentry/book.go
@@ -0,0 +1,208 @@
+package sentry
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/zeebo/xxh3"
+	"google.golang.org/protobuf/proto"
+
+	"scalechute/internal/wire/pb"
+	"scalechute/logic"
+)
+
+// book is the list of workers as last told, which a restarted sentry begins with.
+type book struct {
+	zones   []string
+	version uint64
+	lines   []*pb.Line // in the order in which they were first told; none that is gone
+	at      map[logic.WorkerID]int
+	lives   map[logic.WorkerID]life
+	news    logic.News // as last told, for the breaches
+	saving  bool
+}
+
+// life keeps a worker's start the same on this sentry's clock, however often its age is told.
+type life struct {
+	life    uint64
+	started logic.Micros
+	address string
+}
+
+func newBook(zones []string) book {
+	return book{zones: zones, at: map[logic.WorkerID]int{}, lives: map[logic.WorkerID]life{}}
+}
+
+func (b *book) zoneName(z logic.ZoneID) string {
+	if z >= 0 && int(z) < len(b.zones) {
+		return b.zones[z]
+	}
+	return ""
+}
+
+// zone numbers the zones of the sheet; what the list names beyond them follows.
+func (b *book) zone(name string) logic.ZoneID {
+	for i, z := range b.zones {
+		if z == name {
+			return logic.ZoneID(i)
+		}
+	}
+	b.zones = append(b.zones[:len(b.zones):len(b.zones)], name)
+	return logic.ZoneID(len(b.zones) - 1)
+}
+
+func (b *book) address(id logic.WorkerID) string { return b.lives[id].address }
+
+// take books a report and gives it in the module's terms.
+func (b *book) take(m *pb.Report, now logic.Micros) []logic.Worker {
+	if m.Whole {
+		b.lines, b.at = nil, map[logic.WorkerID]int{}
+	}
+	b.version = m.Version
+	list := make([]logic.Worker, 0, len(m.Lines))
+	for _, line := range m.Lines {
+		id := logic.WorkerID(line.Id)
+		if id == "" {
+			continue
+		}
+		w := logic.Worker{ID: id, Build: logic.BuildID(line.Build), Zone: b.zone(line.Zone), Cell: int(line.Cell),
+			Size: line.Size, State: logic.WorkerState(min(max(line.State, 0), pb.Line_GONE))}
+		l, known := b.lives[id]
+		if !known || l.life != line.Life {
+			l = life{life: line.Life}
+			if line.Young && line.Age < uint64(now) {
+				l.started = now - logic.Micros(line.Age)
+			}
+		}
+		if line.Address != "" {
+			l.address = line.Address
+		}
+		b.lives[id] = l
+		w.Started = l.started
+		list = append(list, w)
+		at, listed := b.at[id]
+		switch {
+		case w.State == logic.Gone && listed:
+			b.lines = append(b.lines[:at], b.lines[at+1:]...)
+			delete(b.at, id)
+			for i := at; i < len(b.lines); i++ {
+				b.at[logic.WorkerID(b.lines[i].Id)] = i
+			}
+		case w.State == logic.Gone:
+		case listed:
+			b.lines[at] = line
+		default:
+			b.at[id] = len(b.lines)
+			b.lines = append(b.lines, line)
+		}
+	}
+	return list
+}
+
+// The file: eight bytes of hash, eight of the wall clock in microseconds, a Report.
+
+const bookHeader = 16
+
+func (b *book) encode(now logic.Micros) ([]byte, error) {
+	m := &pb.Report{Whole: true, Version: b.version}
+	for _, line := range b.lines {
+		line := proto.Clone(line).(*pb.Line)
+		if started := b.lives[logic.WorkerID(line.Id)].started; started > 0 {
+			line.Young, line.Age = true, uint64(now-started)
+		} else {
+			line.Young = false
+		}
+		m.Lines = append(m.Lines, line)
+	}
+	out, err := proto.MarshalOptions{Deterministic: true}.MarshalAppend(make([]byte, bookHeader), m)
+	if err != nil {
+		return nil, err
+	}
+	binary.BigEndian.PutUint64(out[8:], uint64(time.Now().UnixMicro()))
+	binary.BigEndian.PutUint64(out, xxh3.Hash(out[8:]))
+	return out, nil
+}
+
+func decodeBook(data []byte) (*pb.Report, error) {
+	if len(data) < bookHeader || binary.BigEndian.Uint64(data) != xxh3.Hash(data[8:]) {
+		return nil, errors.New("found a damaged file, expected a list as a sentry saves it")
+	}
+	m := &pb.Report{}
+	if err := proto.Unmarshal(data[bookHeader:], m); err != nil {
+		return nil, err
+	}
+	aged := uint64(max(0, time.Now().UnixMicro()-int64(binary.BigEndian.Uint64(data[8:]))))
+	for _, line := range m.Lines {
+		line.Age += aged
+	}
+	return m, nil
+}
+
+// remembered is the list that the last run of this sentry saved, empty if there is none.
+func (s *Sentry) remembered() []logic.Worker {
+	data, err := os.ReadFile(s.sheet.Post.Memory)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	var m *pb.Report
+	if err == nil {
+		m, err = decodeBook(data)
+	}
+	if err != nil {
+		s.log.Warn().Str("file", s.sheet.Post.Memory).Err(err).Msg("no remembered list")
+		return nil
+	}
+	list := s.book.take(m, s.now)
+	s.book.version = 0 // what it missed meanwhile is told whole
+	for _, in := range list {
+		s.known(in)
+	}
+	s.log.Info().Int("workers", len(list)).Msg("remembered list")
+	return list
+}
+
+const saveWait = logic.Micros(500_000)
+
+func (s *Sentry) saveSoon() {
+	if !s.book.saving {
+		s.book.saving = true
+		s.timers.add(timer{due: s.now + saveWait, kind: timeSave})
+	}
+}
+
+// save writes the list beside the old file and puts it in its place, so that a kill at any point leaves one whole.
+func (s *Sentry) save() {
+	if !s.book.saving {
+		return
+	}
+	s.book.saving = false
+	data, err := s.book.encode(s.now)
+	if err == nil {
+		err = replaceFile(s.sheet.Post.Memory, data)
+	}
+	if err != nil {
+		s.log.Error().Str("file", s.sheet.Post.Memory).Err(err).Msg("the list could not be saved")
+	}
+}
+
+func replaceFile(name string, data []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(name), filepath.Base(name)+".new*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	if _, err = f.Write(data); err == nil {
+		err = f.Sync()
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	if err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	return os.Rename(f.Name(), name)
+}
--- /dev/null
+++ b/internal/sentry/sentry.go
@@ -0,0 +1,657 @@
+// Package sentry runs one sentry: it tells the decision module what happens on the sockets and carries out what the
+// module rules. It decides nothing itself.
+//
+// One goroutine, the loop, owns the module and all that is known of transactions and connections. Everything that
+// happens reaches it through the inbox as an event with its time; the loop turns events and timers that come due
+// into a stream of input.Input, the only way in which the module is told anything. docs/sentry.md says why.
+package sentry
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"scalechute/internal/input"
+	"scalechute/internal/orders"
+	"scalechute/internal/wire"
+	"scalechute/internal/wire/pb"
+	"scalechute/logic"
+)
+
+// Sentry is one running sentry.
+type Sentry struct {
+	sheet   *orders.Sheet
+	orders  *logic.StandingOrders
+	log     zerolog.Logger
+	clock   clock
+	inbox   *inbox
+	server  *wire.Server
+	metrics *metrics
+	done    chan struct{}
+	record  func(*input.Input, *logic.Result)
+	breach  Breach
+
+	// What follows belongs to the loop.
+	module   *logic.Sentry
+	now      logic.Micros
+	todo     []input.Input
+	telling  bool
+	wakeAt   logic.Micros
+	timers   timers
+	open     map[logic.TransactionID]*transaction
+	unclosed int
+	named    uint64
+	run      string // tells this run's transactions from those of another
+	spare    []*transaction
+	dirty    []*wire.Link
+	workers  map[logic.WorkerID]*worker
+	conns    []*conn // in the order in which they were opened
+	book     book
+	list     *upstream
+	desk     *upstream
+	peers    []*upstream // by position, nil for those that are not told
+	votes    map[uint64]bool
+	voteSeq  uint64
+	listSeq  uint64
+	stopping bool
+	scratch  struct {
+		answer wire.Answer
+		work   wire.Work
+		name   []byte
+		key    []byte
+	}
+}
+
+// Options are what a caller may add to a sentry's sheet.
+type Options struct {
+	Log    zerolog.Logger
+	Record func(*input.Input, *logic.Result) // sees each input with what the module made of it, on the loop
+	Break  Breach                            // breaks a rule on purpose, to try the auditor
+}
+
+// transaction is one that a client asked for and the sentry took.
+type transaction struct {
+	id      logic.TransactionID
+	gen     uint32 // tells the uses of this record apart
+	client  *client
+	asked   uint64
+	profile uint32
+	key     logic.Key
+	mark    []byte
+	payload []byte
+	hint    uint64
+	came    logic.Micros
+	limit   logic.Micros
+	sends   []handOff
+	out     int
+	closed  bool
+}
+
+type handOff struct {
+	worker *worker
+	conn   *conn // nil while it waits for a connection
+	id     uint64
+	sent   logic.Micros
+	until  logic.Micros
+	over   bool
+}
+
+// client is a connection of a client or of a peer.
+type client struct {
+	link    *wire.Link
+	greeted bool
+	peer    bool
+	from    logic.SentryID
+	gone    bool
+	open    map[uint64]*transaction // by the client's id; the loop's
+}
+
+// Start opens the sockets and begins to work.
+func Start(sheet *orders.Sheet, opts Options) (*Sentry, error) {
+	s := &Sentry{
+		sheet: sheet, orders: &sheet.Standing, log: opts.Log, clock: newClock(), done: make(chan struct{}),
+		record: opts.Record, breach: opts.Break,
+		open: map[logic.TransactionID]*transaction{}, workers: map[logic.WorkerID]*worker{}, votes: map[uint64]bool{},
+		run: strconv.FormatInt(time.Now().UnixMicro(), 36) + "-" + strconv.Itoa(int(sheet.Standing.Position)) + "-",
+	}
+	seed := sheet.Post.Seed
+	if seed == 0 {
+		seed = time.Now().UnixNano()
+	}
+	s.inbox = newInbox(sheet.Bounds.Inbox, s.clock)
+	s.module = logic.New(sheet.Standing, seed)
+	s.metrics = newMetrics(s)
+	s.now = s.clock.now()
+	s.book = newBook(sheet.Zones)
+	s.peers = make([]*upstream, sheet.Standing.Sentries)
+	for i := range s.peers {
+		if address := sheet.Post.Peers[logic.SentryID(i)]; address != "" {
+			s.peers[i] = &upstream{name: "peer " + strconv.Itoa(i), address: address, role: pb.Hello_PEER, lossy: true}
+		}
+	}
+	s.list = &upstream{name: "list", address: sheet.Post.List, role: pb.Hello_SENTRY, keep: !s.orders.AskForList}
+	s.desk = &upstream{name: "desk", address: sheet.Post.Desk, role: pb.Hello_SENTRY, keep: true}
+
+	server, err := wire.Serve(sheet.Post.Listen, s.bounds(), s.accept)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", sheet.Post.Listen, err)
+	}
+	s.server = server
+	if err := s.metrics.serve(sheet.Post.Metrics); err != nil {
+		server.Close()
+		return nil, fmt.Errorf("metrics on %s: %w", sheet.Post.Metrics, err)
+	}
+	s.log.Info().Str("address", server.Address).Int64("seed", seed).Msg("listening")
+	go s.loop()
+	return s, nil
+}
+
+func (s *Sentry) bounds() wire.Bounds {
+	return wire.Bounds{Frame: s.sheet.Bounds.Frame, Pending: s.sheet.Bounds.Unwritten}
+}
+
+// Address is where the sentry listens.
+func (s *Sentry) Address() string { return s.server.Address }
+
+// MetricsAddress is where the metrics are served, empty if nowhere.
+func (s *Sentry) MetricsAddress() string { return s.metrics.address }
+
+// Stop has the sentry take nothing new, answer all that it holds, and end. Done is closed then.
+func (s *Sentry) Stop() {
+	s.server.StopListening()
+	s.inbox.put(&event{kind: evStop}, false)
+}
+
+// Done is closed when the sentry has ended.
+func (s *Sentry) Done() <-chan struct{} { return s.done }
+
+// Inspect calls f on the loop, between two inputs, and waits for it.
+func (s *Sentry) Inspect(f func()) {
+	made := make(chan struct{})
+	s.inbox.put(&event{kind: evInspect, call: func() { f(); close(made) }}, false)
+	select {
+	case <-made:
+	case <-s.done:
+	}
+}
+
+// accept makes a client of a new connection. Its frames are decoded on the poller and wait there for room.
+func (s *Sentry) accept(l *wire.Link) (wire.Handler, func(*wire.Link, error)) {
+	c := &client{link: l}
+	return func(l *wire.Link, kind wire.Kind, body []byte) error { return s.fromClient(c, kind, body) },
+		func(l *wire.Link, reason error) {
+			if reason != nil && !errors.Is(reason, wire.ErrClosed) {
+				s.metrics.faults.Inc()
+				s.log.Warn().Str("from", l.RemoteAddr()).Err(reason).Msg("connection closed")
+			}
+			s.inbox.put(&event{kind: evClientGone, client: c}, false)
+		}
+}
+
+// Loop and timers.
+
+func (s *Sentry) loop() {
+	defer close(s.done)
+	defer s.end()
+	s.start()
+	var batch []event
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		batch = s.inbox.take(batch)
+		for i := range batch {
+			s.fire(batch[i].at, batch[i].at)
+			s.now = max(s.now, batch[i].at)
+			s.event(&batch[i])
+			batch[i] = event{}
+		}
+		now := s.clock.now()
+		s.fire(now+1, now)
+		s.flush()
+		if s.stopping && s.unclosed == 0 {
+			return
+		}
+		if len(batch) > 0 {
+			continue
+		}
+		next := s.timers.due()
+		if s.wakeAt > 0 && (next == 0 || s.wakeAt < next) {
+			next = s.wakeAt
+		}
+		wait := time.Hour
+		if next > 0 {
+			wait = max(0, span(next-s.clock.now()))
+		}
+		alarm.Reset(wait)
+		select {
+		case <-s.inbox.wake:
+		case <-alarm.C:
+		}
+	}
+}
+
+// fire handles all timers due before a time. What came in the same microsecond as a time-out goes first.
+func (s *Sentry) fire(before, at logic.Micros) {
+	for {
+		due := s.timers.due()
+		wake := s.wakeAt > 0 && s.wakeAt < before && (due == 0 || s.wakeAt <= due)
+		if !wake && (due == 0 || due >= before) {
+			return
+		}
+		s.now = max(s.now, at)
+		if wake {
+			s.wakeAt = 0
+			s.tell(input.Input{Kind: input.Woke})
+			continue
+		}
+		t := s.timers.pop()
+		s.timer(&t)
+	}
+}
+
+func (s *Sentry) timer(t *timer) {
+	switch t.kind {
+	case timeUntil, timeConnect:
+		if t.t.gen != t.gen || t.t.sends[t.n].over {
+			return
+		}
+		h := &t.t.sends[t.n]
+		switch {
+		case h.conn != nil && t.kind == timeUntil:
+			s.handOffEnds(t.t, t.n, logic.TimedOut, -1)
+		case h.conn == nil && t.kind == timeUntil: // nothing of it was written
+			s.handOffEnds(t.t, t.n, logic.Unsent, -1)
+		case h.conn == nil:
+			s.handOffEnds(t.t, t.n, logic.Unconnected, -1)
+		}
+	case timeOverdue:
+		if t.t.gen == t.gen && !t.t.closed {
+			s.metrics.overdue.Inc()
+			s.log.Error().Str("transaction", string(t.t.id)).Msg("no final answer in time, written off")
+			s.answer(t.t, pb.Outcome_WRITTEN_OFF, 0, nil, nil)
+			s.tell(input.Input{Kind: input.ClientLeft, ID: t.t.id})
+			s.drop(t.t)
+		}
+	case timeVote:
+		if s.votes[t.id] {
+			delete(s.votes, t.id)
+			s.tell(input.Input{Kind: input.NewsCame, News: logic.News{Fate: logic.VoteUnanswered}})
+		}
+	case timeList:
+		if s.listSeq == t.id && s.list.asked {
+			s.listRefused("no answer")
+		}
+	case timeRedial:
+		t.up.waits = false
+		s.connect(t.up)
+	case timeIdle:
+		s.closeIdle()
+	case timeSave:
+		s.save()
+	}
+}
+
+func (s *Sentry) event(e *event) {
+	switch e.kind {
+	case evAsk:
+		s.take(e)
+	case evDone:
+		s.workDone(e)
+	case evLeave:
+		if t := e.client.open[e.id]; t != nil {
+			s.clientLeft(t)
+		}
+	case evClientGone:
+		e.client.gone = true
+		for _, t := range sortedOpen(e.client) {
+			s.clientLeft(t)
+		}
+	case evWorkerLost:
+		s.connLost(e.conn)
+	case evDialed:
+		s.dialed(e)
+	case evProbed:
+		s.tell(input.Input{Kind: input.Probed, Worker: e.conn.worker.id, Held: float64(e.held) - 1})
+	case evUpDialed:
+		s.upDialed(e.up, e.link, e.err)
+	case evUpLost:
+		s.upLost(e.up, e.link, e.err)
+	case evReport:
+		s.reported(e.report)
+	case evNews:
+		s.told(e.news)
+	case evPeer:
+		s.tell(input.Input{Kind: input.PeerSaid, From: e.client.from, Body: e.payload})
+	case evComplaint:
+		s.tell(input.Input{Kind: input.Complained, Complaint: logic.Complaint{
+			Profile: logic.ProfileID(e.profile), Worker: logic.WorkerID(e.key), Age: logic.Micros(e.left)}})
+	case evStop:
+		if !s.stopping {
+			s.stopping = true
+			s.log.Info().Int("open", s.unclosed).Msg("stopping: nothing new is taken")
+		}
+	case evInspect:
+		e.call()
+	}
+}
+
+// tell gives the module one input and carries out what it rules. What that brings about at once waits its turn.
+func (s *Sentry) tell(in input.Input) {
+	s.todo = append(s.todo, in)
+	if s.telling {
+		return
+	}
+	s.telling = true
+	for i := 0; i < len(s.todo); i++ {
+		in := &s.todo[i]
+		in.At = s.now
+		if in.Kind == input.HandOffEnded {
+			t := s.open[in.End.Transaction]
+			in.End.Closed = t == nil || t.closed
+		}
+		result := input.Apply(s.module, in)
+		if s.record != nil {
+			s.record(in, &result)
+		}
+		if in.Kind == input.HandOffEnded {
+			if t := s.open[in.End.Transaction]; t != nil {
+				t.out--
+			}
+		}
+		s.wakeAt = result.WakeAt
+		done := in.End.Transaction
+		s.carryOut(&result)
+		if t := s.open[done]; t != nil && done != "" {
+			s.drop(t)
+		}
+	}
+	clear(s.todo)
+	s.todo = s.todo[:0]
+	s.telling = false
+}
+
+func (s *Sentry) carryOut(r *logic.Result) {
+	for i := range r.Rulings {
+		x := &r.Rulings[i]
+		t := s.open[x.Transaction]
+		if t == nil {
+			s.log.Error().Str("transaction", string(x.Transaction)).Msg("ruling on a transaction that is not open")
+			continue
+		}
+		switch x.Kind {
+		case logic.HandOff:
+			s.handOff(t, x)
+			s.breachAfter(t, x)
+		case logic.CancelHandOff:
+			s.cancel(t, x.Number)
+		case logic.Defer:
+			s.answer(t, pb.Outcome_DEFERRED, x.ComeBack, nil, nil)
+			s.drop(t)
+		case logic.WriteOff:
+			s.answer(t, pb.Outcome_WRITTEN_OFF, 0, nil, nil)
+			s.drop(t)
+		}
+	}
+	for _, v := range r.Votes {
+		s.vote(v)
+	}
+	if r.Follow {
+		s.askList(true)
+	}
+	if r.ReadList {
+		s.askList(false)
+	}
+	for _, id := range r.Probes {
+		s.probe(id)
+	}
+	for _, m := range r.Messages {
+		s.say(m)
+	}
+	for _, n := range r.Notes {
+		s.log.Info().Str("from", "module").Msg(n)
+	}
+}
+
+// Clients.
+
+func (s *Sentry) fromClient(c *client, kind wire.Kind, body []byte) error {
+	if !c.greeted {
+		return s.greet(c, kind, body)
+	}
+	switch {
+	case kind == wire.KindAsk && !c.peer:
+		var m wire.Ask
+		if err := m.Read(body); err != nil {
+			return err
+		}
+		if int(m.Profile) >= len(s.orders.Profiles) {
+			return fault("profile "+strconv.Itoa(int(m.Profile)), "one of "+strconv.Itoa(len(s.orders.Profiles)))
+		}
+		if int(m.Account) > len(s.orders.Accounts) {
+			return fault("account "+strconv.Itoa(int(m.Account)), "at most "+strconv.Itoa(len(s.orders.Accounts)))
+		}
+		e := event{kind: evAsk, client: c, id: m.ID, profile: m.Profile, account: m.Account, left: m.Left,
+			hint: m.Hint, again: m.Again, key: logic.Key(m.Key)}
+		if n := len(m.Mark) + len(m.Payload); n > 0 {
+			both := append(append(make([]byte, 0, n), m.Mark...), m.Payload...)
+			e.mark, e.payload = both[:len(m.Mark):len(m.Mark)], both[len(m.Mark):]
+		}
+		s.inbox.put(&e, true)
+		return nil
+	case kind == wire.KindLeave && !c.peer:
+		var m wire.Plain
+		if err := m.Read(body); err != nil {
+			return err
+		}
+		s.inbox.put(&event{kind: evLeave, client: c, id: m.ID}, true)
+		return nil
+	case kind == wire.KindComplain && !c.peer:
+		var m pb.Complain
+		if err := unmarshal(body, &m); err != nil {
+			return err
+		}
+		if int(m.Profile) >= len(s.orders.Profiles) {
+			return fault("profile "+strconv.Itoa(int(m.Profile)), "one of "+strconv.Itoa(len(s.orders.Profiles)))
+		}
+		s.inbox.put(&event{kind: evComplaint, profile: m.Profile, key: logic.Key(m.Worker), left: m.Age}, true)
+		return nil
+	case kind == wire.KindSay && c.peer:
+		var m pb.Say
+		if err := unmarshal(body, &m); err != nil {
+			return err
+		}
+		if len(m.Body) > mostSaid {
+			return fault(strconv.Itoa(len(m.Body))+" bytes between sentries", "at most "+strconv.Itoa(mostSaid))
+		}
+		s.inbox.put(&event{kind: evPeer, client: c, payload: m.Body}, true)
+		return nil
+	}
+	return fault("a frame of kind "+strconv.Itoa(int(kind)), "one that this side may send")
+}
+
+// mostSaid bounds a message between sentries, in bytes.
+const mostSaid = 256
+
+func (s *Sentry) greet(c *client, kind wire.Kind, body []byte) error {
+	if kind != wire.KindHello {
+		return fault("a frame of kind "+strconv.Itoa(int(kind)), "a hello first")
+	}
+	var m pb.Hello
+	if err := unmarshal(body, &m); err != nil {
+		return err
+	}
+	if m.Version != wire.Version {
+		return fault("protocol version "+strconv.Itoa(int(m.Version)), strconv.Itoa(wire.Version))
+	}
+	switch m.Role {
+	case pb.Hello_CLIENT:
+	case pb.Hello_PEER:
+		if int(m.Position) >= s.orders.Sentries || logic.SentryID(m.Position) == s.orders.Position {
+			return fault("a peer at position "+strconv.Itoa(int(m.Position)), "that of another sentry")
+		}
+		c.peer, c.from = true, logic.SentryID(m.Position)
+	default:
+		return fault("role "+m.Role.String(), "a client or a peer")
+	}
+	c.greeted = true
+	return nil
+}
+
+func fault(found, expected string) error { return &wire.FrameFault{Found: found, Expected: expected} }
+
+func (s *Sentry) take(e *event) {
+	c := e.client
+	if c.gone {
+		return
+	}
+	if c.open == nil {
+		c.open = map[uint64]*transaction{}
+	}
+	if c.open[e.id] != nil {
+		s.metrics.faults.Inc()
+		s.log.Warn().Str("from", c.link.RemoteAddr()).Uint64("id", e.id).
+			Msg("connection closed: transaction id used twice, expected a new one")
+		c.link.Close(wire.ErrClosed)
+		return
+	}
+	if s.stopping || s.unclosed >= s.sheet.Bounds.Open {
+		s.metrics.notTaken.Inc()
+		a := &s.scratch.answer
+		*a = wire.Answer{ID: e.id, Outcome: uint32(pb.Outcome_NOT_TAKEN)}
+		s.put(c.link, wire.KindAnswer, a)
+		return
+	}
+	t := s.newTransaction()
+	t.client, t.asked, t.profile, t.key, t.mark, t.payload = c, e.id, e.profile, e.key, e.mark, e.payload
+	t.hint, t.came = e.hint, e.at
+	t.limit = e.at + min(logic.Micros(min(e.left, 1<<40)), s.orders.Profiles[e.profile].OuterLimit)
+	c.open[e.id] = t
+	s.open[t.id] = t
+	s.unclosed++
+	s.metrics.taken[e.profile].Inc()
+	s.timers.add(timer{due: t.limit + s.orders.AnswerGrace, kind: timeOverdue, t: t, gen: t.gen})
+	s.tell(input.Input{Kind: input.TransactionCame, Transaction: logic.Transaction{
+		ID: t.id, Profile: logic.ProfileID(e.profile), Account: logic.AccountID(e.account) - 1, Key: e.key,
+		Limit: t.limit, Hint: logic.Micros(e.hint), Again: e.again}})
+}
+
+func (s *Sentry) newTransaction() *transaction {
+	var t *transaction
+	if n := len(s.spare); n > 0 {
+		t, s.spare = s.spare[n-1], s.spare[:n-1]
+	} else {
+		t = &transaction{}
+	}
+	s.named++
+	s.scratch.name = strconv.AppendUint(append(s.scratch.name[:0], s.run...), s.named, 36)
+	t.id = logic.TransactionID(s.scratch.name)
+	return t
+}
+
+// answer sends the one final answer.
+func (s *Sentry) answer(t *transaction, o pb.Outcome, comeBack logic.Micros, payload, worker []byte) {
+	if t.closed {
+		return
+	}
+	t.closed = true
+	s.unclosed--
+	delete(t.client.open, t.asked)
+	s.metrics.answered(t, o, s.now)
+	a := &s.scratch.answer
+	*a = wire.Answer{ID: t.asked, Outcome: uint32(o), ComeBack: uint64(comeBack), Payload: payload, Worker: worker}
+	s.put(t.client.link, wire.KindAnswer, a)
+	s.breachAnswer(t, a)
+}
+
+func (s *Sentry) clientLeft(t *transaction) {
+	if t.closed {
+		return
+	}
+	t.closed = true
+	s.unclosed--
+	delete(t.client.open, t.asked)
+	s.metrics.left.Inc()
+	s.tell(input.Input{Kind: input.ClientLeft, ID: t.id})
+	s.drop(t)
+}
+
+// drop forgets a transaction that is closed and has nothing out.
+func (s *Sentry) drop(t *transaction) {
+	if !t.closed || t.out > 0 || s.open[t.id] != t {
+		return
+	}
+	delete(s.open, t.id)
+	sends, gen := t.sends[:0], t.gen+1
+	clear(t.sends)
+	*t = transaction{gen: gen, sends: sends}
+	if len(s.spare) < 4096 {
+		s.spare = append(s.spare, t)
+	}
+}
+
+// put adds a frame and has it written at the end of the batch. A client that does not read is let go.
+func (s *Sentry) put(l *wire.Link, kind wire.Kind, m wire.Message) bool {
+	if !l.Put(kind, m) {
+		if !l.Dead() && kind == wire.KindAnswer {
+			l.Close(wire.ErrSlowReader)
+		}
+		return false
+	}
+	s.dirty = append(s.dirty, l)
+	return true
+}
+
+func (s *Sentry) flush() {
+	for i, l := range s.dirty {
+		if i == 0 || l != s.dirty[i-1] {
+			l.Flush()
+		}
+	}
+	clear(s.dirty)
+	s.dirty = s.dirty[:0]
+}
+
+// start is the beginning of the stream: what was remembered of the list, then what the services tell.
+func (s *Sentry) start() {
+	s.now = s.clock.now()
+	list := s.remembered()
+	s.tell(input.Input{Kind: input.ListCame, ListKind: logic.ListRemembered, List: list})
+	s.connect(s.desk)
+	if s.list.keep {
+		s.askList(true)
+	}
+	if s.orders.IdleClose > 0 {
+		s.timers.add(timer{due: s.now + s.orders.IdleClose/4, kind: timeIdle})
+	}
+}
+
+// end closes everything, after what was answered has been written.
+func (s *Sentry) end() {
+	s.flush()
+	for i := 0; i < 100 && s.server.Waiting() > 0; i++ {
+		time.Sleep(2 * time.Millisecond)
+	}
+	s.inbox.close()
+	s.save()
+	for _, c := range s.conns {
+		c.link.Close(wire.ErrClosed)
+	}
+	for _, u := range append([]*upstream{s.list, s.desk}, s.peers...) {
+		if u != nil && u.link != nil {
+			u.link.Close(wire.ErrClosed)
+		}
+	}
+	s.server.Close()
+	s.metrics.close()
+	s.log.Info().Msg("stopped")
+}
+
+// Kill ends the sentry as a crash would: nothing more is answered or saved.
+func (s *Sentry) Kill() {
+	s.inbox.close()
+	s.server.Close()
+	s.metrics.close()
+}
--- /dev/null
+++ b/internal/sentry/upstream.go
@@ -0,0 +1,239 @@
+package sentry
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"scalechute/internal/input"
+	"scalechute/internal/wire"
+	"scalechute/internal/wire/pb"
+	"scalechute/logic"
+)
+
+// upstream is a connection that this sentry opens to the list's service, the desk or a peer.
+type upstream struct {
+	name, address string
+	role          pb.Hello_Role
+	keep          bool // opened again whenever it has broken
+	lossy         bool // what can't be sent is lost and nobody is told
+	link          *wire.Link
+	dialing       bool
+	waits         bool // to be dialled again
+	retry         logic.Micros
+	asked         bool // of the list: follows it or awaits an answer
+	follow, whole bool // to be asked for once it is open
+}
+
+const (
+	retryLeast = logic.Micros(100_000)
+	retryMost  = logic.Micros(2_000_000)
+)
+
+// connect dials in the background, unless that is being done.
+func (s *Sentry) connect(u *upstream) {
+	if u.link != nil || u.dialing || u.waits || s.stopping {
+		return
+	}
+	u.dialing = true
+	limit, bounds := max(span(s.orders.ConnectLimit), 250*time.Millisecond), s.bounds()
+	bounds.Frame = wire.MostFrame
+	go func() {
+		link, err := wire.Dial(u.address, limit, bounds,
+			func(_ *wire.Link, kind wire.Kind, body []byte) error { return s.fromUpstream(u, kind, body) },
+			func(l *wire.Link, reason error) {
+				s.inbox.put(&event{kind: evUpLost, up: u, link: l, err: reason}, false)
+			})
+		s.inbox.put(&event{kind: evUpDialed, up: u, link: link, err: err}, false)
+	}()
+}
+
+func (s *Sentry) upDialed(u *upstream, link *wire.Link, err error) {
+	u.dialing = false
+	if err != nil || link.Dead() {
+		s.upFailed(u, err)
+		return
+	}
+	u.link, u.retry = link, 0
+	link.PutProto(wire.KindHello, &pb.Hello{Version: wire.Version, Role: u.role,
+		Position: uint32(s.orders.Position), Zone: s.book.zoneName(s.orders.Zone)})
+	s.dirty = append(s.dirty, link)
+	s.log.Info().Str("to", u.name).Msg("connected")
+	if u == s.list {
+		s.askPending()
+	}
+}
+
+func (s *Sentry) upLost(u *upstream, link *wire.Link, reason error) {
+	if u.link != link {
+		return
+	}
+	u.link = nil
+	if reason != nil && !errors.Is(reason, wire.ErrClosed) {
+		s.metrics.faults.Inc()
+		s.log.Warn().Str("to", u.name).Err(reason).Msg("connection closed")
+	}
+	s.upFailed(u, nil)
+}
+
+func (s *Sentry) upFailed(u *upstream, err error) {
+	u.retry = min(max(retryLeast, 2*u.retry), retryMost)
+	if !u.lossy {
+		s.log.Warn().Str("to", u.name).Str("address", u.address).Err(err).Msg("not connected")
+	}
+	if u == s.list && (u.asked || u.follow || u.whole) {
+		u.follow, u.whole = u.keep, false
+		s.listRefused("no connection")
+	}
+	if u.keep && !u.waits {
+		u.waits = true
+		s.timers.add(timer{due: s.now + u.retry, kind: timeRedial, up: u})
+	}
+}
+
+func (s *Sentry) fromUpstream(u *upstream, kind wire.Kind, body []byte) error {
+	switch {
+	case kind == wire.KindReport && u == s.list:
+		m := &pb.Report{}
+		if err := unmarshal(body, m); err != nil {
+			return err
+		}
+		s.inbox.put(&event{kind: evReport, report: m}, true)
+		return nil
+	case kind == wire.KindNews && u == s.desk:
+		m := &pb.News{}
+		if err := unmarshal(body, m); err != nil {
+			return err
+		}
+		s.inbox.put(&event{kind: evNews, news: m}, true)
+		return nil
+	}
+	return fault("a frame of kind "+strconv.Itoa(int(kind)), "one that the "+u.name+" may send")
+}
+
+// The list.
+
+func (s *Sentry) askList(follow bool) {
+	s.list.follow = s.list.follow || follow
+	s.list.whole = s.list.whole || !follow
+	s.askPending()
+}
+
+func (s *Sentry) askPending() {
+	u := s.list
+	if !u.follow && !u.whole {
+		return
+	}
+	if u.link == nil {
+		s.connect(u)
+		return
+	}
+	for _, follow := range []bool{true, false} {
+		if follow && u.follow || !follow && u.whole {
+			u.link.PutProto(wire.KindListAsk, &pb.ListAsk{Follow: follow, Version: s.book.version})
+			u.asked = true
+			s.listSeq++
+			s.timers.add(timer{due: s.now + s.orders.AskWithin/4, kind: timeList, id: s.listSeq})
+		}
+	}
+	u.follow, u.whole = false, false
+	s.dirty = append(s.dirty, u.link)
+}
+
+func (s *Sentry) listRefused(why string) {
+	s.list.asked = false
+	s.listSeq++
+	s.log.Warn().Str("why", why).Msg("the list could not be had")
+	s.tell(input.Input{Kind: input.ListRefused})
+}
+
+func (s *Sentry) reported(m *pb.Report) {
+	s.listSeq++ // no longer awaited
+	if m.Refused {
+		s.listRefused("refused")
+		return
+	}
+	kind := logic.ListChanges
+	if m.Whole {
+		kind = logic.ListWhole
+	}
+	list := s.book.take(m, s.now)
+	for _, in := range list {
+		s.known(in)
+	}
+	if m.Whole {
+		s.metrics.lists.Inc()
+	}
+	s.tell(input.Input{Kind: input.ListCame, ListKind: kind, List: list})
+	s.saveSoon()
+}
+
+// known keeps where a listed worker is reached. One that is gone stays known, for what is out there.
+func (s *Sentry) known(in logic.Worker) {
+	w := s.workers[in.ID]
+	if w == nil {
+		w = &worker{id: in.ID}
+		s.workers[in.ID] = w
+	}
+	if address := s.book.address(in.ID); address != "" {
+		w.address = address
+	}
+	if w.line.State != in.State {
+		w.since = s.now
+	}
+	w.line = in
+}
+
+// The desk.
+
+func (s *Sentry) told(m *pb.News) {
+	n := logic.News{Valid: m.Valid, Build: logic.BuildID(m.Build), Stage: int(m.Stage),
+		Phase: logic.Phase(min(m.Phase, uint32(logic.Withdrawn))), Cap: min(max(m.Cap, 0), 1),
+		Age: logic.Micros(min(m.Age, 1<<50))}
+	if m.Vote != 0 {
+		if !s.votes[m.Vote] {
+			return // it was held for unanswered
+		}
+		delete(s.votes, m.Vote)
+		n.Fate = map[pb.News_Fate]logic.VoteFate{pb.News_STANDS: logic.VoteStands, pb.News_MOOT: logic.VoteMoot,
+			pb.News_REFUSED: logic.VoteRefused}[m.Fate]
+	}
+	s.tell(input.Input{Kind: input.NewsCame, News: n})
+	if n.Valid {
+		s.book.news = n
+	}
+}
+
+func (s *Sentry) vote(v logic.Vote) {
+	s.metrics.votes.Inc()
+	s.voteSeq++
+	m := &pb.Vote{Id: s.voteSeq, Build: uint32(v.Build), Stage: uint32(v.Stage), Verdict: uint32(v.Verdict)}
+	if s.desk.link == nil || !s.desk.link.PutProto(wire.KindVote, m) {
+		s.tell(input.Input{Kind: input.NewsCame, News: logic.News{Fate: logic.VoteRefused}})
+		return
+	}
+	s.dirty = append(s.dirty, s.desk.link)
+	s.votes[s.voteSeq] = true
+	s.timers.add(timer{due: s.now + s.orders.VoteWait, kind: timeVote, id: s.voteSeq})
+}
+
+// say sends a message to peers. What can't be sent is lost.
+func (s *Sentry) say(m logic.Message) {
+	if len(m.Body) > mostSaid {
+		s.log.Error().Int("bytes", len(m.Body)).Msg("message between sentries dropped, expected at most 256")
+		return
+	}
+	for i, u := range s.peers {
+		if u == nil || m.To != logic.EverySentry && m.To != logic.SentryID(i) {
+			continue
+		}
+		if u.link == nil {
+			s.connect(u)
+			continue
+		}
+		if u.link.PutProto(wire.KindSay, &pb.Say{Body: m.Body}) {
+			s.metrics.said.Inc()
+			s.dirty = append(s.dirty, u.link)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sentry/workers.go
@@ -0,0 +1,331 @@
+package sentry
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"scalechute/internal/input"
+	"scalechute/internal/wire"
+	"scalechute/internal/wire/pb"
+	"scalechute/logic"
+)
+
+// worker is where hand-offs to one worker go.
+type worker struct {
+	id      logic.WorkerID
+	address string
+	line    logic.Worker
+	since   logic.Micros // in this state
+	conns   []*conn
+	dials   int
+	waiting []waiting // the earliest first
+	probes  uint64
+}
+
+// waiting is a hand-off without a connection yet.
+type waiting struct {
+	t   *transaction
+	gen uint32
+	n   int
+}
+
+// conn is a connection to a worker. A hand-off's id on it names its slot.
+type conn struct {
+	worker *worker
+	link   *wire.Link
+	slots  []slot
+	free   []int
+	seq    uint64
+	used   logic.Micros
+	lost   bool
+}
+
+type slot struct {
+	id  uint64 // 0 if free
+	t   *transaction
+	gen uint32
+	n   int
+}
+
+// open says whether a hand-off still waits.
+func (w waiting) open() bool { return w.t.gen == w.gen && !w.t.sends[w.n].over }
+
+// handOff carries out a ruling. What is not sent ends at once, as proven not to have run.
+func (s *Sentry) handOff(t *transaction, r *logic.Ruling) {
+	w, n := s.workers[r.Worker], len(t.sends)
+	t.sends = append(t.sends, handOff{worker: w, sent: s.now, until: min(r.Until, t.limit)})
+	t.out++
+	h := &t.sends[n]
+	if h.until <= 0 {
+		h.until = t.limit
+	}
+	if t.closed || w == nil || h.until <= s.now || n >= s.orders.MostHandOffs {
+		s.handOffEnds(t, n, logic.Unsent, -1)
+		return
+	}
+	s.timers.add(timer{due: h.until, kind: timeUntil, t: t, n: n, gen: t.gen})
+	if s.send(w, t, n) {
+		return
+	}
+	w.waiting = append(w.waiting, waiting{t, t.gen, n})
+	s.timers.add(timer{due: s.now + s.orders.ConnectLimit, kind: timeConnect, t: t, n: n, gen: t.gen})
+	s.dial(w)
+}
+
+// send writes a hand-off to the first connection that has room.
+func (s *Sentry) send(w *worker, t *transaction, n int) bool {
+	for _, c := range w.conns {
+		if len(c.free) == 0 || c.lost {
+			continue
+		}
+		at := c.free[len(c.free)-1]
+		c.seq++
+		h := &t.sends[n]
+		id := c.seq*uint64(len(c.slots)) + uint64(at)
+		m := &s.scratch.work
+		s.scratch.name = append(s.scratch.name[:0], t.id...)
+		s.scratch.key = append(s.scratch.key[:0], t.key...)
+		*m = wire.Work{ID: id, Profile: t.profile, Key: s.scratch.key, Left: uint64(h.until - s.now),
+			Mark: t.mark, Payload: t.payload, Transaction: s.scratch.name, Number: uint32(n), Hint: t.hint}
+		if !s.put(c.link, wire.KindWork, m) { // nothing of it has left: another connection may take it
+			continue
+		}
+		c.free = c.free[:len(c.free)-1]
+		c.slots[at] = slot{id: id, t: t, gen: t.gen, n: n}
+		c.used, h.conn, h.id = s.now, c, id
+		s.metrics.handOffs.Inc()
+		return true
+	}
+	return false
+}
+
+// dial opens a connection for those that wait, unless enough are being opened or are open.
+func (s *Sentry) dial(w *worker) {
+	want := 0
+	for _, x := range w.waiting {
+		if x.open() {
+			want++
+		}
+	}
+	if w.dials*s.sheet.Bounds.HandOffsConnection >= want || w.dials+len(w.conns) >= s.sheet.Bounds.Connections {
+		return
+	}
+	w.dials++
+	s.metrics.dials.Inc()
+	address, limit, bounds := w.address, span(s.orders.ConnectLimit), s.bounds()
+	go func() {
+		c := &conn{worker: w}
+		link, err := wire.Dial(address, limit, bounds,
+			func(_ *wire.Link, kind wire.Kind, body []byte) error { return s.fromWorker(c, kind, body) },
+			func(l *wire.Link, reason error) {
+				if reason != nil && !errors.Is(reason, wire.ErrClosed) {
+					s.metrics.faults.Inc()
+					s.log.Warn().Str("worker", string(w.id)).Err(reason).Msg("connection closed")
+				}
+				s.inbox.put(&event{kind: evWorkerLost, conn: c}, false)
+			})
+		s.inbox.put(&event{kind: evDialed, worker: w, conn: c, link: link, err: err}, false)
+	}()
+}
+
+func (s *Sentry) dialed(e *event) {
+	w, c := e.worker, e.conn
+	w.dials--
+	if e.err == nil && !c.lost {
+		most := s.sheet.Bounds.HandOffsConnection
+		c.link, c.slots, c.used = e.link, make([]slot, most), s.now
+		for i := most - 1; i >= 0; i-- {
+			c.free = append(c.free, i)
+		}
+		hello := &pb.Hello{Version: wire.Version, Role: pb.Hello_SENTRY, Position: uint32(s.orders.Position),
+			Zone: s.book.zoneName(s.orders.Zone)}
+		if c.link.PutProto(wire.KindHello, hello) {
+			w.conns, s.conns = append(w.conns, c), append(s.conns, c)
+			s.dirty = append(s.dirty, c.link)
+		}
+		s.sendWaiting(w)
+		return
+	}
+	// Those that this connection was for have none; the rest wait for the other dials.
+	bound := w.dials * s.sheet.Bounds.HandOffsConnection
+	left := w.waiting[:0:0]
+	for _, x := range w.waiting {
+		switch {
+		case !x.open():
+		case len(left) < bound:
+			left = append(left, x)
+		default:
+			defer s.handOffEnds(x.t, x.n, logic.Unconnected, -1)
+		}
+	}
+	w.waiting = left
+}
+
+// sendWaiting writes what waits for a connection, as far as there is room.
+func (s *Sentry) sendWaiting(w *worker) {
+	for len(w.waiting) > 0 {
+		x := w.waiting[0]
+		if x.open() {
+			if x.t.closed {
+				w.waiting = w.waiting[1:]
+				s.handOffEnds(x.t, x.n, logic.Unsent, -1)
+				continue
+			}
+			if !s.send(w, x.t, x.n) {
+				break
+			}
+		}
+		w.waiting = w.waiting[1:]
+	}
+	if len(w.waiting) == 0 {
+		w.waiting = nil
+	} else {
+		s.dial(w)
+	}
+}
+
+// handOffEnds tells the module of the end of a hand-off, once.
+func (s *Sentry) handOffEnds(t *transaction, n int, ending logic.Ending, held float64) {
+	h := &t.sends[n]
+	if h.over {
+		return
+	}
+	h.over = true
+	s.metrics.endings[ending].Inc()
+	w := h.worker
+	if h.conn != nil {
+		h.conn.release(h.id)
+	}
+	end := logic.HandOffEnd{Transaction: t.id, HandOff: n, Ending: ending, Took: s.now - h.sent, Held: held}
+	if w != nil {
+		end.Worker = w.id
+	}
+	s.tell(input.Input{Kind: input.HandOffEnded, End: end})
+	if w != nil && len(w.waiting) > 0 {
+		s.sendWaiting(w)
+	}
+}
+
+func (c *conn) release(id uint64) {
+	at := int(id % uint64(len(c.slots)))
+	if c.slots[at].id == id {
+		c.slots[at] = slot{}
+		c.free = append(c.free, at)
+	}
+}
+
+// fromWorker decodes a worker's frame on the poller.
+func (s *Sentry) fromWorker(c *conn, kind wire.Kind, body []byte) error {
+	switch kind {
+	case wire.KindDone:
+		var m wire.Done
+		if err := m.Read(body); err != nil {
+			return err
+		}
+		if m.Ended > uint32(pb.Ended_TURNED_AWAY) {
+			return fault("ending "+strconv.Itoa(int(m.Ended)), "0 to 2")
+		}
+		e := event{kind: evDone, conn: c, id: m.ID, ended: m.Ended, held: m.Held}
+		if len(m.Payload) > 0 {
+			e.payload = append([]byte(nil), m.Payload...)
+		}
+		s.inbox.put(&e, false)
+		return nil
+	case wire.KindProbed:
+		var m pb.Probed
+		if err := unmarshal(body, &m); err != nil {
+			return err
+		}
+		s.inbox.put(&event{kind: evProbed, conn: c, held: m.Held}, false)
+		return nil
+	}
+	return fault("a frame of kind "+strconv.Itoa(int(kind)), "one that a worker may send")
+}
+
+func unmarshal(body []byte, m proto.Message) error {
+	if err := proto.Unmarshal(body, m); err != nil {
+		return fault("no "+string(m.ProtoReflect().Descriptor().Name()), "one")
+	}
+	return nil
+}
+
+// workDone takes a worker's answer. One that comes after its hand-off has ended changes nothing any more.
+func (s *Sentry) workDone(e *event) {
+	c := e.conn
+	if c.lost || len(c.slots) == 0 {
+		return
+	}
+	x := c.slots[int(e.id%uint64(len(c.slots)))]
+	if x.id != e.id || e.id == 0 || x.t.gen != x.gen || x.t.sends[x.n].over {
+		s.metrics.lateEnds.Inc()
+		return
+	}
+	c.used = s.now
+	t := x.t
+	ending := [...]logic.Ending{logic.Answered, logic.Errored, logic.TurnedAway}[e.ended]
+	if ending == logic.Answered && !t.closed {
+		s.scratch.name = append(s.scratch.name[:0], c.worker.id...)
+		s.answer(t, pb.Outcome_SATISFIED, 0, e.payload, s.scratch.name)
+	}
+	s.handOffEnds(t, x.n, ending, float64(e.held)-1)
+}
+
+// connLost ends all that was out on a connection: it may have run.
+func (s *Sentry) connLost(c *conn) {
+	c.lost = true
+	drop := func(x *conn) bool { return x == c }
+	c.worker.conns, s.conns = slices.DeleteFunc(c.worker.conns, drop), slices.DeleteFunc(s.conns, drop)
+	out := slices.Clone(c.slots)
+	slices.SortFunc(out, func(a, b slot) int { return cmp.Compare(a.id, b.id) })
+	for _, x := range out {
+		if x.id != 0 && x.t.gen == x.gen {
+			s.handOffEnds(x.t, x.n, logic.Broken, -1)
+		}
+	}
+}
+
+// cancel ends the wait for a hand-off. The worker is told; whether it stops is its own affair.
+func (s *Sentry) cancel(t *transaction, n int) {
+	if n < 0 || n >= len(t.sends) || t.sends[n].over {
+		return
+	}
+	h := &t.sends[n]
+	if h.conn != nil {
+		s.put(h.conn.link, wire.KindCancel, &wire.Plain{ID: h.id})
+	}
+	s.handOffEnds(t, n, logic.Cancelled, -1)
+}
+
+func (s *Sentry) probe(id logic.WorkerID) {
+	w := s.workers[id]
+	if w == nil || len(w.conns) == 0 {
+		return
+	}
+	w.probes++
+	s.put(w.conns[0].link, wire.KindProbe, &wire.Plain{ID: w.probes})
+}
+
+// closeIdle closes the connections that nothing has used for as long as the orders say.
+func (s *Sentry) closeIdle() {
+	for _, c := range slices.Clone(s.conns) {
+		if len(c.free) == len(c.slots) && s.now-c.used >= s.orders.IdleClose {
+			c.link.Close(wire.ErrClosed)
+			s.connLost(c)
+		}
+	}
+	s.timers.add(timer{due: s.now + max(s.orders.IdleClose/4, 1000), kind: timeIdle})
+}
+
+// sortedOpen lists what a client has open, in the order of its ids.
+func sortedOpen(c *client) []*transaction {
+	all := make([]*transaction, 0, len(c.open))
+	for _, t := range c.open {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *transaction) int { return cmp.Compare(a.asked, b.asked) })
+	return all
+}
--- /dev/null
+++ b/internal/wire/link.go
@@ -0,0 +1,337 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"google.golang.org/protobuf/proto"
+)
+
+func init() {
+	// What arrives is handled on the poller itself: a handler that waits for room stops the reading, so that the
+	// senders' sockets fill up and hold them back. Handlers wait for nothing else.
+	err := netpoll.Configure(netpoll.Config{PollerNum: 1, Runner: func(_ context.Context, f func()) { f() }})
+	if err != nil {
+		panic(err) // only wrong figures are refused
+	}
+}
+
+// ErrClosed is the reason of a link that its own side closed.
+var ErrClosed = errors.New("closed here")
+
+// ErrSlowReader is the reason of a link whose other side left too much unread.
+var ErrSlowReader = errors.New("the other side does not read")
+
+// Handler takes a frame. The body is good only during the call. An error closes the link with it as the reason.
+type Handler func(l *Link, kind Kind, body []byte) error
+
+// Link carries frames both ways over one connection. Put and Flush may be called from any goroutine; the handler
+// and the closed callback are not called at the same time as each other.
+type Link struct {
+	conn    netpoll.Connection
+	handle  Handler
+	ended   func(*Link, error)
+	carry   []byte // a frame that has not come whole
+	most    int
+	Context any // the owner's
+
+	mu       sync.Mutex
+	pending  []byte
+	spare    []byte
+	flushing bool
+	dead     bool
+	reason   error
+	once     sync.Once
+	flushFn  func()
+}
+
+// Bounds of a link, in bytes.
+type Bounds struct {
+	Frame   int // greatest message of a frame
+	Pending int // what may wait to be written
+}
+
+// DefaultBounds suit every role.
+var DefaultBounds = Bounds{Frame: MostFrame, Pending: 8 << 20}
+
+func newLink(conn netpoll.Connection, b Bounds, handle Handler, ended func(*Link, error)) *Link {
+	l := &Link{conn: conn, handle: handle, ended: ended, most: b.Pending}
+	l.flushFn = l.flush
+	conn.AddCloseCallback(func(netpoll.Connection) error {
+		l.over(nil)
+		return nil
+	})
+	return l
+}
+
+// Dial opens a link. It blocks for at most the limit.
+func Dial(address string, limit time.Duration, b Bounds, handle Handler, ended func(*Link, error)) (*Link, error) {
+	conn, err := netpoll.NewDialer().DialConnection("tcp", address, limit)
+	if err != nil {
+		return nil, err
+	}
+	l := newLink(conn, b, handle, ended)
+	if err := conn.SetOnRequest(l.arrived(b)); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	if !conn.IsActive() {
+		l.over(net.ErrClosed)
+	}
+	return l, nil
+}
+
+// arrived splits what has come into frames. It always takes all that is there and waits for nothing.
+func (l *Link) arrived(b Bounds) netpoll.OnRequest {
+	return func(_ context.Context, conn netpoll.Connection) error {
+		r := conn.Reader()
+		data, err := r.Next(r.Len())
+		if err != nil {
+			return err
+		}
+		if len(l.carry) > 0 {
+			l.carry = append(l.carry, data...)
+			data = l.carry
+		}
+		for {
+			kind, body, rest, ok, err := split(data, b.Frame)
+			if ok {
+				err = l.handle(l, kind, body)
+			}
+			if err != nil {
+				l.carry = nil
+				r.Release()
+				l.Close(err)
+				return err
+			}
+			if !ok {
+				break
+			}
+			data = rest
+		}
+		l.carry = append(l.carry[:0], data...)
+		if len(data) == 0 && cap(l.carry) > 64<<10 {
+			l.carry = nil
+		}
+		return r.Release()
+	}
+}
+
+// Put adds a frame to what waits to be written. False says that nothing of it will ever leave: the link has
+// closed or too much waits already.
+func (l *Link) Put(kind Kind, m Message) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead || len(l.pending) > l.most {
+		return false
+	}
+	var at int
+	l.pending, at = begin(l.pending, kind)
+	l.pending = m.appendTo(l.pending)
+	finish(l.pending, at)
+	return true
+}
+
+// PutProto is Put for generated messages.
+func (l *Link) PutProto(kind Kind, m proto.Message) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead || len(l.pending) > l.most {
+		return false
+	}
+	to, at := begin(l.pending, kind)
+	to, err := proto.MarshalOptions{}.MarshalAppend(to, m)
+	if err != nil {
+		return false
+	}
+	l.pending = to
+	finish(l.pending, at)
+	return true
+}
+
+// PutRaw adds bytes that are frames already, or are meant to be none.
+func (l *Link) PutRaw(b []byte) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead || len(l.pending) > l.most {
+		return false
+	}
+	l.pending = append(l.pending, b...)
+	return true
+}
+
+// Send is PutProto and Flush.
+func (l *Link) Send(kind Kind, m proto.Message) bool {
+	ok := l.PutProto(kind, m)
+	l.Flush()
+	return ok
+}
+
+// Waiting says whether something waits to be written.
+func (l *Link) Waiting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.dead && (l.flushing || len(l.pending) > 0)
+}
+
+// Flush has written what waits, on a goroutine of its own, since a socket that is full makes the writer wait.
+func (l *Link) Flush() {
+	l.mu.Lock()
+	start := !l.flushing && !l.dead && len(l.pending) > 0
+	l.flushing = l.flushing || start
+	l.mu.Unlock()
+	if start {
+		go l.flushFn()
+	}
+}
+
+func (l *Link) flush() {
+	for {
+		l.mu.Lock()
+		if l.dead || len(l.pending) == 0 {
+			l.flushing = false
+			l.mu.Unlock()
+			return
+		}
+		out := l.pending
+		l.pending, l.spare = l.spare[:0], nil
+		l.mu.Unlock()
+		w := l.conn.Writer()
+		_, err := w.WriteBinary(out)
+		if err == nil {
+			err = w.Flush()
+		}
+		l.mu.Lock()
+		if cap(out) <= 256<<10 {
+			l.spare = out[:0]
+		}
+		l.mu.Unlock()
+		if err != nil {
+			l.Close(fmt.Errorf("write: %w", err))
+			return
+		}
+	}
+}
+
+// Close ends the link for a reason. What waits to be written may be lost.
+func (l *Link) Close(reason error) {
+	l.over(reason)
+	l.conn.Close()
+}
+
+func (l *Link) over(reason error) {
+	l.once.Do(func() {
+		l.mu.Lock()
+		l.dead, l.reason = true, reason
+		l.mu.Unlock()
+		if l.ended != nil {
+			l.ended(l, reason)
+		}
+	})
+}
+
+// Dead says whether the link has ended.
+func (l *Link) Dead() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dead
+}
+
+// RemoteAddr names the other side.
+func (l *Link) RemoteAddr() string { return l.conn.RemoteAddr().String() }
+
+// Server takes connections.
+type Server struct {
+	Address string
+	loop    netpoll.EventLoop
+	mu      sync.Mutex
+	links   map[*Link]struct{}
+
+	refusing bool
+}
+
+// Serve listens and makes a link of each connection. The handler that accept returns takes its frames.
+func Serve(address string, b Bounds, accept func(*Link) (Handler, func(*Link, error))) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{Address: listener.Addr().String(), links: map[*Link]struct{}{}}
+	wrapped, err := netpoll.ConvertListener(listener)
+	if err != nil {
+		return nil, err
+	}
+	type linkKey struct{}
+	loop, err := netpoll.NewEventLoop(
+		func(ctx context.Context, conn netpoll.Connection) error {
+			return ctx.Value(linkKey{}).(netpoll.OnRequest)(ctx, conn)
+		},
+		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
+			l := newLink(conn, b, nil, nil)
+			handle, ended := accept(l)
+			l.handle = handle
+			l.ended = func(l *Link, reason error) {
+				s.mu.Lock()
+				delete(s.links, l)
+				s.mu.Unlock()
+				if ended != nil {
+					ended(l, reason)
+				}
+			}
+			s.mu.Lock()
+			refusing := s.refusing
+			s.links[l] = struct{}{}
+			s.mu.Unlock()
+			if refusing {
+				l.Close(ErrClosed)
+			}
+			return context.WithValue(context.Background(), linkKey{}, l.arrived(b))
+		}))
+	if err != nil {
+		return nil, err
+	}
+	s.loop = loop
+	go loop.Serve(wrapped)
+	return s, nil
+}
+
+// StopListening closes each new connection at once and keeps those that are open. (Netpoll's own shutdown would
+// close every connection on which nothing is being read, whatever is owed on it.)
+func (s *Server) StopListening() {
+	s.mu.Lock()
+	s.refusing = true
+	s.mu.Unlock()
+}
+
+// Waiting counts the links on which something waits to be written.
+func (s *Server) Waiting() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for l := range s.links {
+		if l.Waiting() {
+			n++
+		}
+	}
+	return n
+}
+
+// Close ends the server with all its links.
+func (s *Server) Close() {
+	s.mu.Lock()
+	links := make([]*Link, 0, len(s.links))
+	for l := range s.links {
+		links = append(links, l)
+	}
+	s.mu.Unlock()
+	for _, l := range links {
+		l.Close(ErrClosed)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = s.loop.Shutdown(ctx)
+}
