--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"scalechute/internal/baseline"
 	"scalechute/internal/orders"
 	"scalechute/internal/sentry"
 )
@@ -35,6 +36,7 @@
 
 func sentryCommand() *cobra.Command {
 	var config, level, breach string
+	var random bool
 	c := &cobra.Command{
 		Use:   "sentry --config FILE",
 		Short: "Run one sentry until SIGTERM; it then takes nothing new and answers all it holds",
@@ -60,7 +62,12 @@
 			}
 			signals := make(chan os.Signal, 1)
 			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-			s, err := sentry.Start(sheet, sentry.Options{Log: log, Break: broken})
+			opts := sentry.Options{Log: log, Break: broken}
+			if random {
+				log.Warn().Msg("workers are chosen at random, as a baseline")
+				opts.Decide = baseline.NewRandom(sheet.Standing, sheet.Post.Seed).Apply
+			}
+			s, err := sentry.Start(sheet, opts)
 			if err != nil {
 				return err
 			}
@@ -77,7 +84,9 @@
 	c.Flags().StringVar(&level, "level", "info", "least level of what is logged")
 	c.Flags().StringVar(&breach, "break", "", "break a rule on purpose: answer, effect, drain, cold or exposure")
 	_ = c.MarkFlagRequired("config")
+	c.Flags().BoolVar(&random, "random", false, "choose workers at random, as a baseline for drills")
 	_ = c.Flags().MarkHidden("break")
+	_ = c.Flags().MarkHidden("random")
 	return c
 }
 
--- /dev/null
+++ b/internal/drill/file.go
@@ -0,0 +1,232 @@
+// Package drill runs sentries as processes against stand-ins on loopback through a scripted day of troubles, and has
+// the record of what passed on the sockets audited.
+package drill
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"scalechute/internal/hclread"
+	"scalechute/internal/orders"
+	"scalechute/logic"
+	"scalechute/standin"
+)
+
+// Kinds are the troubles that a day may have.
+var Kinds = []string{"bad_build", "balancer_crash", "balancer_roll", "balancer_stall", "burst", "control_down", "crash",
+	"fast_errors", "handshake_slow", "hot_caller", "hot_key", "neighbour", "one_sided", "peer_down", "probe_fail",
+	"shift", "slow", "slow_link", "zone_cut"}
+
+// Day is what a drill's file says.
+type Day struct {
+	Name     string
+	Sheet    *orders.Sheet
+	shared   []byte // the blocks of orders, as they stand in the file
+	Length   logic.Micros
+	Slack    logic.Micros
+	Seed     int64
+	Baseline bool
+	Fleet    FleetPlan
+	Load     standin.Load
+	Releases []Release
+	Troubles []Trouble
+}
+
+// FleetPlan is what the stand-ins are made of.
+type FleetPlan struct {
+	Workers  int
+	Cores    int
+	Spread   float64 // of the workers' speeds about 1
+	Cold     logic.Micros
+	ColdFrom float64
+	Boot     logic.Micros
+	ListLate logic.Micros
+	NewsLate logic.Micros
+	Link     logic.Micros // one way between zones
+}
+
+// Release is a build that is put on trial.
+type Release struct {
+	Build logic.BuildID
+	At    logic.Micros
+	Make  standin.Make
+}
+
+// Trouble is one entry of the timeline. What its figures mean depends on its kind; docs/operating.md has a table.
+type Trouble struct {
+	Kind  string
+	At    logic.Micros
+	For   logic.Micros
+	Count int     // workers or sentries
+	First int     // the first of them
+	Size  float64 // a factor or a share
+	Span  logic.Micros
+	Zone  int // -1: none named
+	How   string
+}
+
+const (
+	ms     = time.Millisecond
+	second = logic.Micros(1_000_000)
+)
+
+// Load reads a drill's file and checks it whole.
+func Load(name string) (*Day, error) {
+	f, err := hclread.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	return read(name, f)
+}
+
+// Parse is Load for what was read already.
+func Parse(name string, source []byte) (*Day, error) {
+	f, err := hclread.Parse(name, source)
+	if err != nil {
+		return nil, err
+	}
+	return read(name, f)
+}
+
+func read(name string, f *hclread.File) (*Day, error) {
+	root := f.Root
+	d := &Day{Name: name, Sheet: orders.Shared(root), shared: orders.SharedSource(root)}
+	b := root.Block("drill", true)
+	d.Length = b.Span("length", true, 10*time.Second, time.Second, 10*time.Minute)
+	d.Slack = b.Span("slack", false, 60*ms, 0, 5*time.Second)
+	d.Seed = int64(b.Whole("seed", false, 1, 0, 1<<31))
+	d.Baseline = b.Flag("baseline", false)
+	b.Done()
+
+	b = root.Block("fleet", true)
+	d.Fleet = FleetPlan{
+		Workers: b.Whole("workers", true, 4, 1, 256), Cores: b.Whole("cores", false, 2, 1, 64),
+		Spread: b.Figure("spread", false, 0.1, 0, 0.9), Cold: b.Span("warm_up", false, 2*time.Second, 0, time.Minute),
+		ColdFrom: b.Figure("cold_from", false, 0.5, 0.01, 1), Boot: b.Span("boot", false, 300*ms, 0, time.Minute),
+		ListLate: b.Span("list_late", false, 300*ms, 0, time.Minute),
+		NewsLate: b.Span("news_late", false, 200*ms, 0, time.Minute), Link: b.Span("link", false, ms, 0, time.Second),
+	}
+	b.Done()
+	if o := &d.Sheet.Standing; d.Fleet.Cold > o.WarmUp || d.Fleet.ColdFrom < o.ColdFrom {
+		b.Fault("workers are colder than the rules state: warm_up at most %d us and cold_from at least %g expected",
+			o.WarmUp, o.ColdFrom)
+	}
+	d.load(root.Block("load", true))
+	for _, b := range root.Blocks("release", 1) {
+		d.Releases = append(d.Releases, d.release(b))
+	}
+	for _, b := range root.Blocks("trouble", 1) {
+		d.trouble(b)
+	}
+	root.Done()
+	slices.SortStableFunc(d.Troubles, func(a, b Trouble) int { return int(a.At - b.At) })
+	return d, f.Err()
+}
+
+func (d *Day) load(b *hclread.Body) {
+	d.Load = standin.Load{
+		PerSecond: b.Figure("per_second", true, 100, 0.1, 100_000), Keys: b.Whole("keys", false, 1000, 1, 1<<20),
+		Zipf: b.Figure("zipf", false, 0.7, 0, 3), Retries: b.Whole("retries", false, 2, 0, 10),
+		Backoff:  span(b.Span("backoff", false, 30*ms, 0, time.Minute)),
+		TryShare: b.Figure("try_share", false, 0.9, 0.1, 1), Leaves: b.Figure("leaves", false, 0, 0, 1),
+	}
+	d.Load.Profiles = make([]standin.Mix, len(d.Sheet.ProfileNames))
+	total := 0.0
+	for _, m := range b.Blocks("mix", 1) {
+		at := slices.Index(d.Sheet.ProfileNames, m.Labels[0])
+		mix := standin.Mix{Share: m.Figure("share", true, 0, 0, 1), Work: m.Span("work", true, ms, 10*time.Microsecond, time.Minute)}
+		m.Done()
+		if at < 0 {
+			m.Fault("mix %q, expected one of the profiles %v", m.Labels[0], d.Sheet.ProfileNames)
+			continue
+		}
+		d.Load.Profiles[at] = mix
+		total += mix.Share
+	}
+	if total < 0.999 || total > 1.001 {
+		b.Fault("shares of all mixes are %g together, expected 1", total)
+	}
+	for _, a := range d.Sheet.Standing.Accounts {
+		d.Load.Accounts = append(d.Load.Accounts, a.Share)
+	}
+	b.Done()
+}
+
+func (d *Day) release(b *hclread.Body) Release {
+	n, err := strconv.Atoi(b.Labels[0])
+	if err != nil || n <= firstBuild || n > 65535 {
+		b.Fault("release %q, expected a whole number above %d", b.Labels[0], firstBuild)
+	}
+	r := Release{Build: logic.BuildID(n), At: b.Span("at", true, 0, 0, 10*time.Minute)}
+	r.Make = d.make(b)
+	b.Done()
+	return r
+}
+
+// make reads how a build behaves.
+func (d *Day) make(b *hclread.Body) standin.Make {
+	m := standin.Make{
+		Speed: b.Figure("speed", false, 1, 0.01, 10), Errors: b.Figure("errors", false, 0, 0, 1), Profile: -1,
+		SlowAfter: b.Span("slow_after", false, 0, 0, 10*time.Minute), SlowBy: b.Figure("slow_by", false, 1, 1, 100),
+		SlowsAll: b.Figure("slows_all", false, 0, 0, 100),
+	}
+	if b.Has("profile") {
+		m.Profile = logic.ProfileID(b.Word("profile", true, 0, d.Sheet.ProfileNames...))
+	}
+	return m
+}
+
+func (d *Day) trouble(b *hclread.Body) {
+	t := Trouble{Kind: b.Labels[0], Zone: -1}
+	if !slices.Contains(Kinds, t.Kind) {
+		b.Fault("trouble %q, expected one of %v", t.Kind, Kinds)
+	}
+	t.At = b.Span("at", true, 0, 0, 10*time.Minute)
+	if t.Kind == "bad_build" { // another word for a release that is bad
+		t.How = b.Text("build", true, "")
+		n, err := strconv.Atoi(t.How)
+		if err != nil || n <= firstBuild || n > 65535 {
+			b.FaultAt("build", "found %q, expected a whole number above %d", t.How, firstBuild)
+		}
+		d.Releases = append(d.Releases, Release{Build: logic.BuildID(n), At: t.At, Make: d.make(b)})
+		b.Done()
+		return
+	}
+	t.For = b.Span("for", true, 0, 0, 10*time.Minute)
+	t.Count = b.Whole("count", false, 1, 1, 256)
+	t.First = b.Whole("first", false, 0, 0, 255)
+	t.Size = b.Figure("size", false, defaultSize[t.Kind], 0, 1000)
+	t.Span = b.Span("delay", false, 100*ms, 0, time.Minute)
+	if b.Has("zone") && len(d.Sheet.Zones) > 0 {
+		t.Zone = b.Word("zone", true, 0, d.Sheet.Zones...)
+	}
+	if t.Kind == "control_down" {
+		t.How = []string{"quiet", "deny", "late"}[b.Word("how", false, 0, "quiet", "deny", "late")]
+	}
+	b.Done()
+	d.Troubles = append(d.Troubles, t)
+}
+
+// defaultSize is a kind's usual strength.
+var defaultSize = map[string]float64{"burst": 2, "fast_errors": 0.6, "hot_caller": 0.5, "hot_key": 0.3, "neighbour": 2,
+	"shift": 0.8, "slow": 4}
+
+const firstBuild = 10
+
+func span(m logic.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
+
+// sentryFile is the orders of one sentry of the drill.
+func (d *Day) sentryFile(position int, zone, listen, memory, list, desk string, peers map[int]string) []byte {
+	s := fmt.Appendf(nil, "sentry {\n  position = %d\n  zone = %q\n  listen = %q\n  memory = %q\n  list = %q\n  desk = %q\n  seed = %d\n",
+		position, zone, listen, memory, list, desk, d.Seed*1000+int64(position)+1)
+	for i := range d.Sheet.Standing.Sentries {
+		if peers[i] != "" {
+			s = fmt.Appendf(s, "  peer \"%d\" {\n    address = %q\n  }\n", i, peers[i])
+		}
+	}
+	return append(append(s, "}\n\n"...), d.shared...)
+}
+
+func seconds(m logic.Micros) float64 { return float64(m) / float64(second) }
--- /dev/null
+++ b/internal/drill/fromday.go
@@ -0,0 +1,102 @@
+package drill
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"scalechute/logic"
+	"scalechute/standin"
+)
+
+// dayFile is what is read of a day that the bench has drawn. Times are in microseconds.
+type dayFile struct {
+	Length   logic.Micros
+	Zones    []string
+	Troubles []struct {
+		Kind  string
+		At    logic.Micros
+		Len   logic.Micros
+		Size  float64
+		Extra float64
+		On    []int
+		Which int
+	}
+	Servers   []json.RawMessage
+	Balancers []json.RawMessage
+	Fam       struct {
+		Releases []struct {
+			At       logic.Micros
+			Bad      string
+			Class    int
+			Speed    float64
+			Strength float64
+		}
+	}
+}
+
+// Take replaces the drill's releases and troubles by those of a day of the bench: the kinds and their order in time,
+// at the drill's length and the drill's numbers of workers and sentries. The day's own sizes stay where they are.
+func (d *Day) Take(data []byte) error {
+	var f dayFile
+	if err := json.Unmarshal(data, &f); err != nil {
+		return fmt.Errorf("found no day as the bench draws them: %w", err)
+	}
+	if f.Length <= 0 {
+		return fmt.Errorf("found a length of %d us, expected a day as the bench draws them", f.Length)
+	}
+	scale := min(1, float64(d.Length)/float64(f.Length))
+	at := func(m logic.Micros) logic.Micros { return logic.Micros(float64(m) * scale) }
+	part := func(n, of, have int) int {
+		if of == 0 {
+			return 1
+		}
+		return min(have, max(1, (n*have+of/2)/of))
+	}
+	d.Troubles, d.Releases = nil, nil
+	for i, r := range f.Fam.Releases {
+		m := standin.Make{Speed: max(0.1, r.Speed), Profile: -1, SlowBy: 1}
+		if r.Bad != "" {
+			m = bad(r.Bad, r.Strength, m.Speed, logic.ProfileID(min(r.Class, len(d.Sheet.ProfileNames)-1)))
+		}
+		d.Releases = append(d.Releases, Release{Build: logic.BuildID(firstBuild + 1 + i), At: at(r.At), Make: m})
+	}
+	for _, x := range f.Troubles {
+		if !slices.Contains(Kinds, x.Kind) {
+			return fmt.Errorf("found a trouble %q, expected one of %v", x.Kind, Kinds)
+		}
+		t := Trouble{Kind: x.Kind, At: at(x.At), For: max(second, at(x.Len)), First: x.Which,
+			Zone: -1, Size: defaultSize[x.Kind], Span: 100_000, How: "quiet"}
+		switch x.Kind {
+		case "balancer_crash", "balancer_roll", "balancer_stall":
+			t.Count = part(len(x.On), len(f.Balancers), d.Sheet.Standing.Sentries)
+		case "zone_cut", "one_sided", "slow_link", "shift":
+			t.Zone = x.Which % len(d.Sheet.Zones)
+		default:
+			t.Count = part(len(x.On), len(f.Servers), d.Fleet.Workers)
+		}
+		t.At = min(t.At, max(0, d.Length-t.For))
+		d.Troubles = append(d.Troubles, t)
+	}
+	slices.SortStableFunc(d.Troubles, func(a, b Trouble) int { return int(a.At - b.At) })
+	return nil
+}
+
+// bad is a build that is bad in one of the ways of the bench, by the words that it may use for them.
+func bad(how string, strength, speed float64, p logic.ProfileID) standin.Make {
+	m := standin.Make{Speed: speed, Profile: -1, SlowBy: 1}
+	strength = max(0.1, strength)
+	switch how {
+	case "work", "slow", "heavy":
+		m.Speed = speed / max(1.5, strength)
+	case "late", "ages", "leak":
+		m.SlowAfter, m.SlowBy, m.Errors = 3*second, 4, 0.2
+	case "fleet", "all", "drag":
+		m.SlowsAll = 2
+	case "class":
+		m.Errors, m.Profile = min(1, max(0.25, strength)), p
+	default:
+		m.Errors = min(1, max(0.1, strength))
+	}
+	return m
+}
--- /dev/null
+++ b/internal/drill/run.go
@@ -0,0 +1,348 @@
+package drill
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"scalechute/internal/audit"
+	"scalechute/logic"
+	"scalechute/standin"
+)
+
+// Plan is how a day is run.
+type Plan struct {
+	Program []string // runs this program; `sentry --config F` follows
+	Dir     string   // for the sentries' files and logs
+	Break   string   // rule that the first sentry breaks on purpose, empty if none
+	Random  bool     // sentries choose workers at random instead of by the module
+	Say     func(format string, args ...any)
+}
+
+// process is one sentry's.
+type process struct {
+	position int
+	zone     int
+	listen   string
+	config   string
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	stopped  bool
+}
+
+type runner struct {
+	d        *Day
+	p        Plan
+	stage    *standin.Stage
+	list     *standin.List
+	desk     *standin.Desk
+	fleet    *fleet
+	mu       sync.Mutex
+	sentries []*process
+	callers  []*standin.Callers // by zone
+	relays   []*standin.Relay
+	reach    map[string]string
+	weather  [][]*standin.Weather // between zones, one way
+	peers    *standin.Weather     // on all links between sentries
+	hiccup   time.Duration
+	restart  sync.WaitGroup
+}
+
+// Run plays a day and gives what became of it.
+func Run(d *Day, p Plan) (*Result, error) {
+	if err := os.MkdirAll(p.Dir, 0o755); err != nil {
+		return nil, err
+	}
+	r := &runner{d: d, p: p, reach: map[string]string{}, peers: &standin.Weather{}}
+	r.stage = standin.NewStage(&d.Sheet.Standing, d.Sheet.Zones, d.Seed)
+	for range d.Sheet.Zones {
+		row := make([]*standin.Weather, len(d.Sheet.Zones))
+		for j := range row {
+			row[j] = &standin.Weather{}
+		}
+		r.weather = append(r.weather, row)
+	}
+	r.calm()
+	defer r.close()
+	if err := r.set(); err != nil {
+		return nil, err
+	}
+	watched := make(chan struct{})
+	go r.watch(watched)
+	r.play()
+	close(watched)
+	return r.result()
+}
+
+// calm has every link carry what it usually does.
+func (r *runner) calm() {
+	for i, row := range r.weather {
+		for j, w := range row {
+			if i != j {
+				w.Set(span(r.d.Fleet.Link), false)
+			}
+		}
+	}
+}
+
+// set brings everything up.
+func (r *runner) set() error {
+	d := r.d
+	r.list = standin.NewList(r.stage)
+	r.list.Late, r.list.Reach = span(d.Fleet.ListLate), r.reached
+	r.fleet = newFleet(d, r.stage, r.list)
+	r.desk = standin.NewDesk(r.stage, r.fleet, firstBuild)
+	r.desk.Late = span(d.Fleet.NewsLate)
+	if err := errors.Join(r.list.Start(), r.desk.Start()); err != nil {
+		return err
+	}
+	r.fleet.mu.Lock()
+	for i, at := range r.fleet.places {
+		s := r.fleet.start(at, i, firstBuild, true)
+		late := r.list.Late
+		r.list.Late = 0
+		r.list.Tell(s.w, logic.Ready)
+		r.list.Late = late
+	}
+	r.fleet.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	for i := range d.Sheet.Standing.Sentries {
+		listen, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		r.sentries = append(r.sentries, &process{position: i, zone: i % len(d.Sheet.Zones), listen: listen,
+			config: filepath.Join(r.p.Dir, fmt.Sprintf("sentry-%d.hcl", i))})
+	}
+	for _, s := range r.sentries {
+		peers := map[int]string{}
+		for _, to := range r.sentries {
+			if s == to || !d.Sheet.Standing.MayMessage {
+				continue
+			}
+			relay, err := standin.NewRelay(to.listen, r.peers, r.peers)
+			if err != nil {
+				return err
+			}
+			r.relays = append(r.relays, relay)
+			peers[to.position] = relay.Address
+		}
+		memory := filepath.Join(r.p.Dir, fmt.Sprintf("sentry-%d.list", s.position))
+		os.Remove(memory)
+		file := d.sentryFile(s.position, d.Sheet.Zones[s.zone], s.listen, memory, r.list.Address, r.desk.Address, peers)
+		if err := os.WriteFile(s.config, file, 0o644); err != nil {
+			return err
+		}
+		if err := r.launch(s); err != nil {
+			return err
+		}
+	}
+	for z := range d.Sheet.Zones {
+		reach, order := map[logic.SentryID]string{}, []logic.SentryID(nil)
+		for _, s := range r.sentries {
+			if s.zone == z {
+				reach[logic.SentryID(s.position)] = s.listen
+				order = append(order, logic.SentryID(s.position))
+			}
+		}
+		part := float64(len(order)) / float64(len(r.sentries))
+		r.callers = append(r.callers, standin.NewCallers(r.stage, fmt.Sprintf("z%d/", z), d.Load, part, reach, order,
+			d.Seed*100+int64(z)))
+	}
+	return nil
+}
+
+// reached is how a zone reaches a worker: directly at home, else over the relay of that link.
+func (r *runner) reached(id logic.WorkerID, address, zone string) string {
+	from := 0
+	for i, name := range r.d.Sheet.Zones {
+		if name == zone {
+			from = i
+		}
+	}
+	to := from
+	r.fleet.mu.Lock()
+	for _, w := range r.fleet.all {
+		if w.Line.ID == id {
+			to = int(w.Line.Zone)
+		}
+	}
+	r.fleet.mu.Unlock()
+	if to == from {
+		return address
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := fmt.Sprintf("%d %s", from, address)
+	if r.reach[key] == "" {
+		relay, err := standin.NewRelay(address, r.weather[from][to], r.weather[to][from])
+		if err != nil {
+			return address
+		}
+		r.relays = append(r.relays, relay)
+		r.reach[key] = relay.Address
+	}
+	return r.reach[key]
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// launch starts a sentry's process and waits until it listens.
+func (r *runner) launch(s *process) error {
+	args := append(append([]string(nil), r.p.Program[1:]...), "sentry", "--config", s.config)
+	if r.p.Break != "" && s.position == 0 {
+		args = append(args, "--break", r.p.Break)
+	}
+	if r.p.Random {
+		args = append(args, "--random")
+	}
+	log, err := os.OpenFile(filepath.Join(r.p.Dir, fmt.Sprintf("sentry-%d.log", s.position)),
+		os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(r.p.Program[0], args...)
+	cmd.Stderr, cmd.Stdout = log, log
+	r.stage.See(audit.Event{Kind: audit.SentryUp, Sentry: logic.SentryID(s.position)})
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return err
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		r.stage.See(audit.Event{Kind: audit.SentryDown, Sentry: logic.SentryID(s.position)})
+		log.Close()
+		close(exited)
+	}()
+	s.cmd, s.exited, s.stopped = cmd, exited, false
+	for range 500 {
+		conn, err := net.DialTimeout("tcp", s.listen, 100*time.Millisecond)
+		if err == nil {
+			conn.Close()
+			return nil
+		}
+		select {
+		case <-exited:
+			return fmt.Errorf("sentry %d ended at its start; see %s", s.position, log.Name())
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("sentry %d does not listen on %s", s.position, s.listen)
+}
+
+func (r *runner) signal(s *process, sig syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = s.cmd.Process.Signal(sig)
+}
+
+// watch measures by how much this process is late at the worst: the record's clock is no better than that.
+func (r *runner) watch(done chan struct{}) {
+	for {
+		at := time.Now()
+		select {
+		case <-done:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+		r.mu.Lock()
+		r.hiccup = max(r.hiccup, time.Since(at)-2*time.Millisecond)
+		r.mu.Unlock()
+	}
+}
+
+// play runs the timeline.
+func (r *runner) play() {
+	start := time.Now()
+	at := func(m logic.Micros, f func()) *time.Timer { return time.AfterFunc(time.Until(start.Add(span(m))), f) }
+	for _, c := range r.callers {
+		c.Start()
+	}
+	for _, x := range r.d.Releases {
+		r.stage.SetBuild(x.Build, x.Make)
+		at(x.At, func() {
+			r.p.Say("%6.1f s  build %d offered", seconds(x.At), x.Build)
+			r.desk.Offer(x.Build)
+		})
+	}
+	for _, t := range r.d.Troubles {
+		at(t.At, func() {
+			r.p.Say("%6.1f s  %s for %.1f s", seconds(t.At), t.Kind, seconds(t.For))
+			end := r.begin(t)
+			if end != nil {
+				r.restart.Add(1)
+				time.AfterFunc(span(t.For), func() { defer r.restart.Done(); end() })
+			}
+		})
+	}
+	time.Sleep(time.Until(start.Add(span(r.d.Length))))
+	for _, c := range r.callers {
+		c.Stop()
+	}
+	r.restart.Wait()
+	longest := logic.Micros(0)
+	for _, p := range r.d.Sheet.Standing.Profiles {
+		longest = max(longest, p.OuterLimit)
+	}
+	// What is open closes by its limit; a client waits half as long again for an answer that is late.
+	for end := time.Now().Add(span(longest)*3/2 + time.Second); time.Now().Before(end) && r.open() > 0; {
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, s := range r.sentries {
+		r.signal(s, syscall.SIGTERM)
+	}
+	for _, s := range r.sentries {
+		select {
+		case <-s.exited:
+		case <-time.After(span(longest) + 2*time.Second):
+			r.signal(s, syscall.SIGKILL)
+		}
+	}
+}
+
+func (r *runner) open() (n int) {
+	for _, c := range r.callers {
+		n += c.Open()
+	}
+	return n
+}
+
+func (r *runner) close() {
+	for _, s := range r.sentries {
+		if s.cmd != nil {
+			_ = s.cmd.Process.Kill()
+			<-s.exited
+		}
+	}
+	for _, c := range r.callers {
+		c.Close()
+	}
+	if r.desk != nil && r.desk.Address != "" {
+		r.desk.Stop()
+	}
+	if r.list != nil && r.list.Address != "" {
+		r.list.Stop()
+	}
+	if r.fleet != nil {
+		r.fleet.stop()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range r.relays {
+		x.Close()
+	}
+}
--- /dev/null
+++ b/internal/drill/trouble.go
@@ -0,0 +1,207 @@
+package drill
+
+import (
+	"sync"
+	"syscall"
+	"time"
+
+	"scalechute/internal/audit"
+	"scalechute/logic"
+	"scalechute/standin"
+)
+
+// begin brings a trouble about and gives what ends it, nil if nothing does.
+func (r *runner) begin(t Trouble) (end func()) {
+	o := &r.d.Sheet.Standing
+	switch t.Kind {
+	case "balancer_crash":
+		hit := r.pick(t)
+		for _, s := range hit {
+			r.signal(s, syscall.SIGKILL)
+		}
+		return func() {
+			for _, s := range hit {
+				<-s.exited
+				r.relaunch(s)
+			}
+		}
+	case "balancer_roll":
+		r.restart.Add(1)
+		go func() {
+			defer r.restart.Done()
+			for _, s := range r.pick(t) {
+				r.signal(s, syscall.SIGTERM)
+				<-s.exited
+				time.Sleep(span(t.Span))
+				r.relaunch(s)
+			}
+		}()
+	case "balancer_stall":
+		hit := r.pick(t)
+		for _, s := range hit {
+			r.stage.See(audit.Event{Kind: audit.Stopped, Sentry: logic.SentryID(s.position)})
+			r.signal(s, syscall.SIGSTOP)
+		}
+		return func() {
+			for _, s := range hit {
+				r.signal(s, syscall.SIGCONT)
+				r.stage.See(audit.Event{Kind: audit.Resumed, Sentry: logic.SentryID(s.position)})
+			}
+		}
+	case "burst":
+		return r.callersWith(t, func(c *standin.Callers) { c.Burst = t.Size }, func(c *standin.Callers) { c.Burst = 1 })
+	case "hot_key":
+		return r.callersWith(t, func(c *standin.Callers) { c.HotKey = t.Size }, func(c *standin.Callers) { c.HotKey = 0 })
+	case "hot_caller":
+		return r.callersWith(t, func(c *standin.Callers) { c.HotCall = t.Size }, func(c *standin.Callers) { c.HotCall = 0 })
+	case "shift":
+		return r.shift(t)
+	case "control_down":
+		late := span(r.d.Fleet.NewsLate)
+		r.desk.Set(func(d *standin.Desk) {
+			d.Quiet, d.Deny = t.How == "quiet", t.How == "deny"
+			if t.How == "late" {
+				d.Late = late + span(t.Span)
+			}
+		})
+		return func() { r.desk.Set(func(d *standin.Desk) { d.Quiet, d.Deny, d.Late = false, false, late }) }
+	case "crash":
+		hit := r.fleet.some(t.First, t.Count, t.Zone)
+		for _, w := range hit {
+			w.Stop()
+			r.list.Tell(w, logic.Gone)
+		}
+		return func() {
+			for _, w := range hit {
+				if !r.fleet.draining(w) && w.Start(false) == nil {
+					r.list.Tell(w, logic.Ready)
+				}
+			}
+		}
+	case "fast_errors":
+		return r.workersWith(t, func(w *standin.Worker) { w.FailQuick = t.Size }, func(w *standin.Worker) { w.FailQuick = 0 })
+	case "handshake_slow":
+		return r.workersWith(t, func(w *standin.Worker) { w.Welcome = span(t.Span) }, func(w *standin.Worker) { w.Welcome = 0 })
+	case "probe_fail":
+		return r.workersWith(t, func(w *standin.Worker) { w.NoProbes = true }, func(w *standin.Worker) { w.NoProbes = false })
+	case "slow":
+		return r.workersWith(t, func(w *standin.Worker) { w.SlowBy = t.Size }, func(w *standin.Worker) { w.SlowBy = 1 })
+	case "neighbour":
+		return r.neighbour(t)
+	case "peer_down":
+		r.peers.Set(0, true)
+		return func() { r.peers.Set(0, false) }
+	case "slow_link":
+		return r.links(t, span(r.d.Fleet.Link+t.Span), false, true)
+	case "zone_cut":
+		return r.links(t, span(r.d.Fleet.Link), true, true)
+	case "one_sided":
+		return r.links(t, span(r.d.Fleet.Link), true, false)
+	}
+	_ = o
+	return nil
+}
+
+func (r *runner) pick(t Trouble) (hit []*process) {
+	for i := range min(t.Count, len(r.sentries)) {
+		hit = append(hit, r.sentries[(t.First+i)%len(r.sentries)])
+	}
+	return hit
+}
+
+func (r *runner) relaunch(s *process) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.launch(s); err != nil {
+		r.p.Say("          %v", err)
+	}
+}
+
+func (r *runner) callersWith(t Trouble, on, off func(*standin.Callers)) func() {
+	each := func(f func(*standin.Callers)) {
+		for z, c := range r.callers {
+			if t.Zone < 0 || t.Zone == z {
+				c.Set(f)
+			}
+		}
+	}
+	each(on)
+	return func() { each(off) }
+}
+
+func (r *runner) workersWith(t Trouble, on, off func(*standin.Worker)) func() {
+	hit := r.fleet.some(t.First, t.Count, t.Zone)
+	for _, w := range hit {
+		w.Set(on)
+	}
+	return func() {
+		for _, w := range hit {
+			w.Set(off)
+		}
+	}
+}
+
+// neighbour has another program take part of some machines, on and off.
+func (r *runner) neighbour(t Trouble) func() {
+	hit := r.fleet.some(t.First, t.Count, t.Zone)
+	done := make(chan struct{})
+	var over sync.WaitGroup
+	over.Add(1)
+	go func() {
+		defer over.Done()
+		for on := true; ; on = !on {
+			for _, w := range hit {
+				w.Set(func(w *standin.Worker) {
+					w.SlowBy = 1
+					if on {
+						w.SlowBy = t.Size
+					}
+				})
+			}
+			select {
+			case <-done:
+				return
+			case <-time.After(span(t.Span) * 5):
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		over.Wait()
+		for _, w := range hit {
+			w.Set(func(w *standin.Worker) { w.SlowBy = 1 })
+		}
+	}
+}
+
+// shift moves a share of one zone's traffic to the next zone.
+func (r *runner) shift(t Trouble) func() {
+	from := max(0, t.Zone)
+	to := (from + 1) % len(r.callers)
+	was, other := r.callers[from].Part(), r.callers[to].Part()
+	if from != to {
+		r.callers[from].SetPart(was * (1 - t.Size))
+		r.callers[to].SetPart(other + was*t.Size)
+	}
+	return func() {
+		r.callers[from].SetPart(was)
+		r.callers[to].SetPart(other)
+	}
+}
+
+// links sets the weather between a zone and all others: on the way out of it, and back.
+func (r *runner) links(t Trouble, delay time.Duration, cut, both bool) func() {
+	z := max(0, t.Zone)
+	set := func(delay time.Duration, cut bool) {
+		for other := range r.weather {
+			if other != z {
+				r.weather[z][other].Set(delay, cut)
+				if both {
+					r.weather[other][z].Set(delay, cut)
+				}
+			}
+		}
+	}
+	set(delay, cut)
+	return func() { set(span(r.d.Fleet.Link), false) }
+}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -265,3 +265,17 @@
 	}
 	return text
 }
+
+// SharedSource is the blocks that Shared reads, as they stand in the file.
+func SharedSource(root *hclread.Body) (source []byte) {
+	for _, kind := range SharedBlocks {
+		labels := 0
+		if kind == "profile" || kind == "account" {
+			labels = 1
+		}
+		for _, b := range root.Blocks(kind, labels) {
+			source = append(append(source, b.Source()...), '\n')
+		}
+	}
+	return source
+}
--- a/internal/sentry/inbox.go
+++ b/internal/sentry/inbox.go
@@ -32,6 +32,7 @@
 	evClientGone
 	evWorkerLost
 	evDialed
+	evWelcome
 	evProbed
 	evUpDialed
 	evUpLost
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -35,7 +35,7 @@
 	breach  Breach
 
 	// What follows belongs to the loop.
-	module   *logic.Sentry
+	decide   func(*input.Input) logic.Result
 	now      logic.Micros
 	todo     []input.Input
 	telling  bool
@@ -70,6 +70,7 @@
 	Log    zerolog.Logger
 	Record func(*input.Input, *logic.Result) // sees each input with what the module made of it, on the loop
 	Break  Breach                            // breaks a rule on purpose, to try the auditor
+	Decide func(*input.Input) logic.Result   // in the module's place: a baseline to compare with
 }
 
 // transaction is one that a client asked for and the sentry took.
@@ -122,7 +123,11 @@
 		seed = time.Now().UnixNano()
 	}
 	s.inbox = newInbox(sheet.Bounds.Inbox, s.clock)
-	s.module = logic.New(sheet.Standing, seed)
+	s.decide = opts.Decide
+	if s.decide == nil {
+		module := logic.New(sheet.Standing, seed)
+		s.decide = func(in *input.Input) logic.Result { return input.Apply(module, in) }
+	}
 	s.metrics = newMetrics(s)
 	s.now = s.clock.now()
 	s.book = newBook(sheet.Zones)
@@ -267,6 +272,11 @@
 		case h.conn == nil:
 			s.handOffEnds(t.t, t.n, logic.Unconnected, -1)
 		}
+	case timeWelcome:
+		if !t.conn.welcome && !t.conn.lost {
+			t.conn.link.Close(wire.ErrClosed)
+			s.connLost(t.conn)
+		}
 	case timeOverdue:
 		if t.t.gen == t.gen && !t.t.closed {
 			s.metrics.overdue.Inc()
@@ -313,6 +323,8 @@
 		s.connLost(e.conn)
 	case evDialed:
 		s.dialed(e)
+	case evWelcome:
+		s.welcomed(e.conn)
 	case evProbed:
 		s.tell(input.Input{Kind: input.Probed, Worker: e.conn.worker.id, Held: float64(e.held) - 1})
 	case evUpDialed:
@@ -352,7 +364,7 @@
 			t := s.open[in.End.Transaction]
 			in.End.Closed = t == nil || t.closed
 		}
-		result := input.Apply(s.module, in)
+		result := s.decide(in)
 		if s.record != nil {
 			s.record(in, &result)
 		}
--- a/internal/sentry/timers.go
+++ b/internal/sentry/timers.go
@@ -7,6 +7,7 @@
 const (
 	timeUntil   timerKind = iota // a hand-off's time is up
 	timeConnect                  // a hand-off still waits for a connection
+	timeWelcome                  // a worker has not welcomed a connection
 	timeOverdue                  // the final answer should have left by now
 	timeVote                     // a vote has had no answer
 	timeList                     // the list's service has not answered
@@ -24,6 +25,7 @@
 	gen  uint32
 	t    *transaction
 	up   *upstream
+	conn *conn
 	id   uint64
 }
 
--- a/internal/sentry/workers.go
+++ b/internal/sentry/workers.go
@@ -42,6 +42,8 @@
 	seq    uint64
 	used   logic.Micros
 	lost   bool
+
+	welcome bool // by the worker: it may carry hand-offs
 }
 
 type slot struct {
@@ -133,23 +135,38 @@
 }
 
 func (s *Sentry) dialed(e *event) {
-	w, c := e.worker, e.conn
-	w.dials--
-	if e.err == nil && !c.lost {
-		most := s.sheet.Bounds.HandOffsConnection
-		c.link, c.slots, c.used = e.link, make([]slot, most), s.now
-		for i := most - 1; i >= 0; i-- {
-			c.free = append(c.free, i)
-		}
-		hello := &pb.Hello{Version: wire.Version, Role: pb.Hello_SENTRY, Position: uint32(s.orders.Position),
-			Zone: s.book.zoneName(s.orders.Zone)}
-		if c.link.PutProto(wire.KindHello, hello) {
-			w.conns, s.conns = append(w.conns, c), append(s.conns, c)
-			s.dirty = append(s.dirty, c.link)
-		}
-		s.sendWaiting(w)
+	c := e.conn
+	if e.err != nil || c.lost || e.link.Dead() {
+		c.lost = true
+		s.unreached(e.worker)
+		return
+	}
+	c.link, c.used = e.link, s.now
+	hello := &pb.Hello{Version: wire.Version, Role: pb.Hello_SENTRY, Position: uint32(s.orders.Position),
+		Zone: s.book.zoneName(s.orders.Zone)}
+	c.link.PutProto(wire.KindHello, hello)
+	s.dirty, s.conns = append(s.dirty, c.link), append(s.conns, c)
+	s.timers.add(timer{due: s.now + s.orders.ConnectLimit, kind: timeWelcome, conn: c})
+}
+
+// welcomed makes a connection good for hand-offs.
+func (s *Sentry) welcomed(c *conn) {
+	if c.lost || c.welcome {
 		return
 	}
+	w, most := c.worker, s.sheet.Bounds.HandOffsConnection
+	c.welcome, c.slots, c.used = true, make([]slot, most), s.now
+	for i := most - 1; i >= 0; i-- {
+		c.free = append(c.free, i)
+	}
+	w.dials--
+	w.conns = append(w.conns, c)
+	s.sendWaiting(w)
+}
+
+// unreached ends the hand-offs for which a connection could not be had.
+func (s *Sentry) unreached(w *worker) {
+	w.dials--
 	// Those that this connection was for have none; the rest wait for the other dials.
 	bound := w.dials * s.sheet.Bounds.HandOffsConnection
 	left := w.waiting[:0:0]
@@ -235,6 +252,9 @@
 		}
 		s.inbox.put(&e, false)
 		return nil
+	case wire.KindWelcome:
+		s.inbox.put(&event{kind: evWelcome, conn: c}, false)
+		return nil
 	case wire.KindProbed:
 		var m pb.Probed
 		if err := unmarshal(body, &m); err != nil {
@@ -276,9 +296,17 @@
 
 // connLost ends all that was out on a connection: it may have run.
 func (s *Sentry) connLost(c *conn) {
+	if c.lost || c.link == nil { // closed here, or before the loop knew of it
+		c.lost = true
+		return
+	}
 	c.lost = true
 	drop := func(x *conn) bool { return x == c }
 	c.worker.conns, s.conns = slices.DeleteFunc(c.worker.conns, drop), slices.DeleteFunc(s.conns, drop)
+	if !c.welcome {
+		s.unreached(c.worker)
+		return
+	}
 	out := slices.Clone(c.slots)
 	slices.SortFunc(out, func(a, b slot) int { return cmp.Compare(a.id, b.id) })
 	for _, x := range out {
@@ -312,7 +340,7 @@
 // closeIdle closes the connections that nothing has used for as long as the orders say.
 func (s *Sentry) closeIdle() {
 	for _, c := range slices.Clone(s.conns) {
-		if len(c.free) == len(c.slots) && s.now-c.used >= s.orders.IdleClose {
+		if c.welcome && len(c.free) == len(c.slots) && s.now-c.used >= s.orders.IdleClose {
 			c.link.Close(wire.ErrClosed)
 			s.connLost(c)
 		}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -32,6 +32,7 @@
 	KindVote
 	KindNews
 	KindSay
+	KindWelcome
 	kinds
 )
 
--- /dev/null
+++ b/standin/client.go
@@ -0,0 +1,387 @@
+package standin
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"sync"
+	"time"
+
+	"scalechute/internal/audit"
+	"scalechute/internal/wire"
+	"scalechute/internal/wire/pb"
+	"scalechute/logic"
+)
+
+// Load is what clients do.
+type Load struct {
+	PerSecond float64
+	Profiles  []Mix // by profile
+	Keys      int
+	Zipf      float64 // popularity of the n-th key falls with this power of n
+	Retries   int
+	Backoff   time.Duration
+	TryShare  float64 // of the outer limit, after which a try is given up
+	Leaves    float64 // share of tries that are given up early, at a random time
+	Accounts  []float64
+}
+
+// Mix is one profile's part of the load.
+type Mix struct {
+	Share float64
+	Work  logic.Micros // mean, on a core of speed one
+}
+
+// Callers are the clients of a zone's sentries: transactions come whether or not earlier ones are answered.
+type Callers struct {
+	// Troubles.
+	Burst   float64 // times the load, 1 if none
+	HotKey  float64 // share of transactions that carry one key
+	HotCall float64 // share of transactions that are of the first account
+
+	stage  *Stage
+	load   Load
+	part   float64 // of the whole load that these make
+	reach  map[logic.SentryID]string
+	order  []logic.SentryID
+	mu     sync.Mutex
+	chance *rand.Rand
+	zipf   []float64 // cumulative
+	lines  []*callLine
+	name   string
+	seq    int
+	firsts []*First
+	done   chan struct{}
+	ended  sync.WaitGroup
+}
+
+// First is a transaction as the user sees it, with all its tries.
+type First struct {
+	Profile  logic.ProfileID
+	At       logic.Micros
+	Took     logic.Micros // to satisfaction, 0 if none came
+	Outcomes [4]int       // tries that ended satisfied, deferred, written off, otherwise
+	Tries    int
+	key      logic.Key
+	mark     string
+	account  int
+	work     float64
+}
+
+// callLine is a connection to a sentry.
+type callLine struct {
+	to   logic.SentryID
+	link *wire.Link
+	seq  uint64
+	open map[uint64]*callTry
+	all  map[uint64]string // names of all tries, so that a second answer is told of the right one
+}
+
+type callTry struct {
+	name  string
+	first *First
+	line  *callLine
+	id    uint64
+	over  bool
+	timer *time.Timer
+}
+
+// NewCallers makes clients that reach the given sentries.
+func NewCallers(s *Stage, name string, load Load, part float64, reach map[logic.SentryID]string, order []logic.SentryID,
+	seed int64) *Callers {
+	c := &Callers{Burst: 1, stage: s, load: load, part: part, reach: reach, order: order, name: name,
+		chance: rand.New(rand.NewSource(seed)), done: make(chan struct{})}
+	sum := 0.0
+	for n := 1; n <= max(1, load.Keys); n++ {
+		sum += math.Pow(float64(n), -load.Zipf)
+		c.zipf = append(c.zipf, sum)
+	}
+	return c
+}
+
+// Set changes their troubles.
+func (c *Callers) Set(f func(*Callers)) {
+	c.mu.Lock()
+	f(c)
+	c.mu.Unlock()
+}
+
+// SetPart changes their part of the whole load.
+func (c *Callers) SetPart(part float64) { c.Set(func(c *Callers) { c.part = part }) }
+
+// Part is their part of the whole load.
+func (c *Callers) Part() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.part
+}
+
+// Start has them begin.
+func (c *Callers) Start() {
+	c.ended.Add(1)
+	go func() {
+		defer c.ended.Done()
+		at := time.Now()
+		for {
+			c.mu.Lock()
+			rate := c.load.PerSecond * c.part * c.Burst
+			gap := time.Hour
+			if rate > 0 {
+				gap = time.Duration(c.chance.ExpFloat64() / rate * float64(time.Second))
+			}
+			c.mu.Unlock()
+			at = at.Add(min(gap, 100*time.Millisecond))
+			if wait := time.Until(at); wait > 0 {
+				select {
+				case <-time.After(wait):
+				case <-c.done:
+					return
+				}
+			} else {
+				select {
+				case <-c.done:
+					return
+				default:
+				}
+			}
+			if gap <= 100*time.Millisecond {
+				c.begin()
+			}
+		}
+	}()
+}
+
+// Stop ends the arrivals; Firsts then tells what became of them.
+func (c *Callers) Stop() {
+	close(c.done)
+	c.ended.Wait()
+}
+
+// Close ends the connections.
+func (c *Callers) Close() {
+	c.mu.Lock()
+	lines := c.lines
+	c.lines = nil
+	c.mu.Unlock()
+	for _, l := range lines {
+		l.link.Close(wire.ErrClosed)
+	}
+}
+
+// Firsts are all transactions that were asked for.
+func (c *Callers) Firsts() []*First {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.firsts
+}
+
+// Open counts the tries that await an answer.
+func (c *Callers) Open() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.lines {
+		n += len(l.open)
+	}
+	return n
+}
+
+func (c *Callers) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := &First{At: c.stage.Now()}
+	x := c.chance.Float64()
+	for i, m := range c.load.Profiles {
+		if x -= m.Share; x < 0 || i == len(c.load.Profiles)-1 {
+			f.Profile = logic.ProfileID(i)
+			break
+		}
+	}
+	f.work = max(200, float64(c.load.Profiles[f.Profile].Work)*min(4, c.chance.ExpFloat64()*0.5+0.5))
+	k := c.chance.Float64() * c.zipf[len(c.zipf)-1]
+	n := 0
+	for lo, hi := 0, len(c.zipf)-1; lo <= hi; {
+		if mid := (lo + hi) / 2; c.zipf[mid] < k {
+			lo = mid + 1
+			n = lo
+		} else {
+			hi = mid - 1
+		}
+	}
+	if c.chance.Float64() < c.HotKey {
+		n = 0
+	}
+	f.key = logic.Key(fmt.Sprintf("%016x", uint64(n+1)*0x9e3779b97f4a7c15))
+	x = c.chance.Float64()
+	if c.chance.Float64() < c.HotCall {
+		x = 0
+	}
+	for i, share := range c.load.Accounts {
+		if x -= share; x < 0 {
+			f.account = i + 1
+			break
+		}
+	}
+	c.seq++
+	f.mark = fmt.Sprintf("%s%d", c.name, c.seq)
+	c.firsts = append(c.firsts, f)
+	c.try(f)
+}
+
+// line is an open connection to one of the sentries, or nil.
+func (c *Callers) line() *callLine {
+	for _, at := range c.chance.Perm(len(c.order)) {
+		to := c.order[at]
+		for _, l := range c.lines {
+			if l.to == to && !l.link.Dead() {
+				return l
+			}
+		}
+		l := &callLine{to: to, open: map[uint64]*callTry{}, all: map[uint64]string{}}
+		link, err := wire.Dial(c.reach[to], 100*time.Millisecond, wire.DefaultBounds,
+			func(_ *wire.Link, kind wire.Kind, body []byte) error { return c.answered(l, kind, body) },
+			func(*wire.Link, error) { go c.lost(l) })
+		if err != nil {
+			continue
+		}
+		l.link = link
+		link.PutProto(wire.KindHello, &pb.Hello{Version: wire.Version, Role: pb.Hello_CLIENT})
+		c.lines = append(c.lines, l)
+		return l
+	}
+	return nil
+}
+
+// try asks a sentry, with the lock held.
+func (c *Callers) try(f *First) {
+	p := &c.stage.Orders.Profiles[f.Profile]
+	f.Tries++
+	l := c.line()
+	if l == nil {
+		f.Outcomes[3]++
+		c.again(f, true)
+		return
+	}
+	now := c.stage.Now()
+	left := min(logic.Micros(float64(p.OuterLimit)*c.load.TryShare), f.At+p.OuterLimit-now)
+	if left <= 0 {
+		return
+	}
+	l.seq++
+	t := &callTry{name: fmt.Sprintf("%s.%d", f.mark, f.Tries), first: f, line: l, id: l.seq}
+	l.open[t.id], l.all[t.id] = t, t.name
+	c.stage.See(audit.Event{Kind: audit.Asked, Sentry: l.to, Try: t.name, Profile: f.Profile, Key: f.key, Span: left})
+	m := &wire.Ask{ID: t.id, Profile: uint32(f.Profile), Account: uint32(f.account), Key: []byte(f.key), Left: uint64(left),
+		Hint: uint64(f.work), Again: f.Tries > 1, Payload: []byte(fmt.Sprintf("%s %d", t.name, int(f.work)))}
+	if p.Repeat == logic.Labelled {
+		m.Mark = []byte(f.mark)
+	}
+	l.link.Put(wire.KindAsk, m)
+	l.link.Flush()
+	wait := span(left + p.OuterLimit/2 + c.stage.Orders.AnswerGrace) // an answer that comes late is still seen
+	if c.chance.Float64() < c.load.Leaves {
+		wait = time.Duration(c.chance.Float64() * float64(span(left)))
+	}
+	t.timer = time.AfterFunc(wait, func() { c.leave(t) })
+}
+
+func (c *Callers) leave(t *callTry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.over {
+		return
+	}
+	c.close(t)
+	c.stage.See(audit.Event{Kind: audit.Left, Sentry: t.line.to, Try: t.name})
+	t.line.link.Put(wire.KindLeave, &wire.Plain{ID: t.id})
+	t.line.link.Flush()
+	t.first.Outcomes[3]++
+}
+
+func (c *Callers) close(t *callTry) {
+	t.over = true
+	t.timer.Stop()
+	delete(t.line.open, t.id)
+}
+
+// lost ends what was open on a connection.
+func (c *Callers) lost(l *callLine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, x := range c.lines {
+		if x == l {
+			c.lines = append(c.lines[:i:i], c.lines[i+1:]...)
+			break
+		}
+	}
+	for _, t := range l.open {
+		c.close(t)
+		c.stage.See(audit.Event{Kind: audit.Left, Sentry: l.to, Try: t.name})
+		t.first.Outcomes[3]++
+		c.again(t.first, false)
+	}
+}
+
+func (c *Callers) answered(l *callLine, kind wire.Kind, body []byte) error {
+	if kind != wire.KindAnswer {
+		return fmt.Errorf("client: frame of kind %d", kind)
+	}
+	var m wire.Answer
+	if err := m.Read(body); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := l.open[m.ID]
+	if t == nil {
+		// The record shows it: the second answer of a try, or one to a try that was left.
+		c.stage.See(audit.Event{Kind: audit.Answered, Sentry: l.to, Try: l.all[m.ID], Outcome: audit.Outcome(m.Outcome % 3)})
+		return nil
+	}
+	c.close(t)
+	f := t.first
+	if m.Outcome == uint32(pb.Outcome_NOT_TAKEN) {
+		c.stage.See(audit.Event{Kind: audit.NotTaken, Sentry: l.to, Try: t.name})
+		f.Outcomes[3]++
+		c.again(f, true)
+		return nil
+	}
+	c.stage.See(audit.Event{Kind: audit.Answered, Sentry: l.to, Try: t.name, Outcome: audit.Outcome(m.Outcome % 3)})
+	f.Outcomes[m.Outcome%3]++
+	if m.Outcome == uint32(pb.Outcome_SATISFIED) {
+		if f.Took == 0 {
+			f.Took = max(1, c.stage.Now()-f.At)
+		}
+			return nil
+	}
+	wait := span(logic.Micros(m.ComeBack))
+	deferred := m.Outcome == uint32(pb.Outcome_DEFERRED)
+	time.AfterFunc(wait, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.again(f, deferred)
+	})
+	return nil
+}
+
+// again tries once more where a client may, with the lock held. Harmless says that nothing has run, by the word of
+// the sentry or since it was not reached.
+func (c *Callers) again(f *First, harmless bool) {
+	p := &c.stage.Orders.Profiles[f.Profile]
+	labelled := p.Repeat == logic.Labelled && p.Scope == logic.ScopeAll && c.stage.Now()-f.At < p.Window/2
+	may := p.Repeat == logic.Redoable || p.Repeat == logic.Irreversible && harmless || labelled
+	select {
+	case <-c.done:
+		return
+	default:
+	}
+	if !may || f.Took > 0 || f.Tries > c.load.Retries || c.stage.Now()+logic.Micros(c.load.Backoff/time.Microsecond) >= f.At+p.OuterLimit {
+		return
+	}
+	time.AfterFunc(c.load.Backoff, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if f.Took == 0 && c.stage.Now() < f.At+p.OuterLimit {
+			c.try(f)
+		}
+	})
+}
--- /dev/null
+++ b/standin/list.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"scalechute/internal/audit"
+	"scalechute/internal/wire"
+	"scalechute/internal/wire/pb"
+	"scalechute/logic"
+)
+
+func unmarshal(body []byte, m proto.Message) error { return proto.Unmarshal(body, m) }
+
+// List is a stand-in for the list's service: it learns of changes late and tells those that follow it.
+type List struct {
+	Late   time.Duration
+	Refuse bool                                                 // every call fails
+	Reach  func(id logic.WorkerID, address, zone string) string // how a zone reaches a worker
+
+	stage   *Stage
+	mu      sync.Mutex
+	server  *wire.Server
+	Address string
+	version uint64
+	lines   []*listed // in the order in which they were first listed
+	follow  map[*wire.Link]*follower
+}
+
+type listed struct {
+	line    *pb.Line
+	started logic.Micros
+	version uint64
+}
+
+type follower struct {
+	sentry logic.SentryID
+	zone   string
+	has    uint64
+	on     bool
+}
+
+// NewList makes a list that nobody can reach yet.
+func NewList(s *Stage) *List {
+	return &List{stage: s, follow: map[*wire.Link]*follower{}, version: 1,
+		Reach: func(_ logic.WorkerID, address, _ string) string { return address }}
+}
+
+// Start has it listen.
+func (l *List) Start() error {
+	address := l.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	server, err := wire.Serve(address, wire.DefaultBounds, l.accept)
+	if err != nil {
+		return err
+	}
+	l.server, l.Address = server, server.Address
+	return nil
+}
+
+// Stop ends it.
+func (l *List) Stop() { l.server.Close() }
+
+// Set changes its troubles.
+func (l *List) Set(f func(*List)) {
+	l.mu.Lock()
+	f(l)
+	l.mu.Unlock()
+}
+
+// Tell lists a worker as it is now, after the delay.
+func (l *List) Tell(w *Worker, state logic.WorkerState) {
+	l.mu.Lock()
+	late := l.Late
+	l.mu.Unlock()
+	up, started, life := w.Up()
+	if state == logic.Ready && !up {
+		return
+	}
+	line := &pb.Line{Id: string(w.Line.ID), Address: w.Address, Build: uint32(w.Line.Build),
+		Zone: l.stage.Zones[w.Line.Zone], Cell: uint32(w.Line.Cell), Size: w.Line.Size, Life: life,
+		State: pb.Line_State(state)}
+	time.AfterFunc(late, func() { l.TellNow([]*pb.Line{line}, started) })
+}
+
+// TellNow lists lines at once, in one report.
+func (l *List) TellNow(lines []*pb.Line, started logic.Micros) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version++
+	for _, line := range lines {
+		var at *listed
+		for _, x := range l.lines {
+			if x.line.Id == line.Id {
+				at = x
+			}
+		}
+		if at == nil {
+			at = &listed{}
+			l.lines = append(l.lines, at)
+		}
+		at.line, at.started, at.version = line, started, l.version
+	}
+	for link, f := range l.follow {
+		if f.on {
+			l.send(link, f, false)
+		}
+	}
+}
+
+func (l *List) accept(link *wire.Link) (wire.Handler, func(*wire.Link, error)) {
+	f := &follower{}
+	return func(link *wire.Link, kind wire.Kind, body []byte) error {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			switch kind {
+			case wire.KindHello:
+				m := &pb.Hello{}
+				if err := unmarshal(body, m); err != nil {
+					return err
+				}
+				f.sentry, f.zone = logic.SentryID(m.Position), m.Zone
+				l.follow[link] = f
+			case wire.KindListAsk:
+				m := &pb.ListAsk{}
+				if err := unmarshal(body, m); err != nil {
+					return err
+				}
+				if l.Refuse {
+					link.Send(wire.KindReport, &pb.Report{Refused: true})
+					return nil
+				}
+				f.on, f.has = f.on || m.Follow, m.Version
+				l.send(link, f, !m.Follow || m.Version == 0)
+			}
+			return nil
+		}, func(link *wire.Link, _ error) {
+			l.mu.Lock()
+			delete(l.follow, link)
+			l.mu.Unlock()
+		}
+}
+
+// send tells what has changed since a follower's version, or everything.
+func (l *List) send(link *wire.Link, f *follower, whole bool) {
+	r := &pb.Report{Whole: whole, Version: l.version}
+	now := l.stage.Now()
+	for _, x := range l.lines {
+		if whole && x.line.State == pb.Line_GONE || !whole && x.version <= f.has {
+			continue
+		}
+		line := proto.Clone(x.line).(*pb.Line)
+		line.Address = l.Reach(logic.WorkerID(line.Id), line.Address, f.zone)
+		if x.started > 0 {
+			line.Young, line.Age = true, uint64(now-x.started)
+		}
+		r.Lines = append(r.Lines, line)
+		l.stage.See(audit.Event{Kind: audit.ListTold, Sentry: f.sentry, Worker: logic.WorkerID(line.Id),
+			Build: logic.BuildID(line.Build), State: logic.WorkerState(line.State)})
+	}
+	f.has = l.version
+	link.Send(wire.KindReport, r)
+}
--- /dev/null
+++ b/standin/stage.go
@@ -0,0 +1,120 @@
+// Package standin holds small stand-ins for what sentries work with: workers, the list's service, the desk, clients,
+// and the links between zones. They run on loopback in one process, on one clock, and tell a record what they saw on
+// their ends of the sockets. Troubles are fields that a drill sets while they run.
+package standin
+
+import (
+	"math/rand"
+	"sync"
+	"time"
+
+	"scalechute/internal/audit"
+	"scalechute/logic"
+)
+
+// Stage is what the stand-ins of one drill share.
+type Stage struct {
+	Orders *logic.StandingOrders
+	Zones  []string
+	base   time.Time
+	mu     sync.Mutex
+	events []audit.Event
+	chance *rand.Rand
+	builds map[logic.BuildID]Make
+	marks  map[string]logic.Micros // labelled transactions that have run, by group and mark
+	recent []logic.BuildID         // of the last hand-offs of all workers, for builds that slow all
+	at     int
+	closed bool
+}
+
+// Make is how a build behaves.
+type Make struct {
+	Speed     float64         // to that of the first build
+	Errors    float64         // share of hand-offs that it fails
+	Profile   logic.ProfileID // that it fails; -1 for all
+	Wrong     float64         // share of answers that are wrong
+	SlowAfter logic.Micros    // a worker of this age turns slow, 0 if never
+	SlowBy    float64
+	SlowsAll  float64 // how much slower all workers get by its part of the traffic
+}
+
+// NewStage begins a drill's clock.
+func NewStage(o *logic.StandingOrders, zones []string, seed int64) *Stage {
+	return &Stage{Orders: o, Zones: zones, base: time.Now(), chance: rand.New(rand.NewSource(seed)),
+		builds: map[logic.BuildID]Make{}, marks: map[string]logic.Micros{}, recent: make([]logic.BuildID, 100)}
+}
+
+// Now is the drill's clock.
+func (s *Stage) Now() logic.Micros { return logic.Micros(time.Since(s.base) / time.Microsecond) }
+
+func span(m logic.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
+
+// See records an event at the present time.
+func (s *Stage) See(e audit.Event) {
+	s.mu.Lock()
+	e.At = s.Now()
+	if !s.closed {
+		s.events = append(s.events, e)
+	}
+	s.mu.Unlock()
+}
+
+// Events ends the record and gives it.
+func (s *Stage) Events() []audit.Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	return s.events
+}
+
+// SetBuild says how a build behaves.
+func (s *Stage) SetBuild(b logic.BuildID, m Make) {
+	s.mu.Lock()
+	s.builds[b] = m
+	s.mu.Unlock()
+}
+
+func (s *Stage) draw() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chance.Float64()
+}
+
+// makeOf is how a build behaves now, slowed by what another one does to all.
+func (s *Stage) makeOf(b logic.BuildID) (m Make, slowed float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slowed = 1
+	n := map[logic.BuildID]float64{}
+	for _, x := range s.recent {
+		n[x]++
+	}
+	for x, m := range s.builds {
+		slowed += m.SlowsAll * n[x] / float64(len(s.recent))
+	}
+	m, known := s.builds[b]
+	if !known {
+		m.Speed = 1
+	}
+	return m, slowed
+}
+
+func (s *Stage) handed(b logic.BuildID) {
+	s.mu.Lock()
+	s.recent[s.at%len(s.recent)] = b
+	s.at++
+	s.mu.Unlock()
+}
+
+// firstRun says whether a labelled transaction has not run in its group within the window, and books that it has.
+func (s *Stage) firstRun(group, mark string, window logic.Micros) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	ran, known := s.marks[group+mark]
+	if known && now-ran <= window {
+		return false
+	}
+	s.marks[group+mark] = now
+	return true
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,344 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"scalechute/internal/audit"
+	"scalechute/internal/wire"
+	"scalechute/internal/wire/pb"
+	"scalechute/logic"
+)
+
+// Worker is a stand-in for one worker. Its address stays over a restart.
+type Worker struct {
+	Line  logic.Worker
+	Cores int
+	Speed float64
+	Cold  logic.Micros // until warm after a start
+	From  float64      // of its speed, at a start
+	Queue int
+
+	// Troubles.
+	SlowBy    float64 // 1 if none
+	FailQuick float64 // share that fails at once
+	Welcome   time.Duration
+	Deaf      bool // takes connections and reads nothing of them
+	NoProbes  bool
+
+	stage   *Stage
+	Address string
+	mu      sync.Mutex
+	server  *wire.Server
+	life    uint64
+	up      bool
+	drain   bool
+	started logic.Micros
+	busy    int
+	queue   []*job
+	got     uint64
+	recent  []arrival
+}
+
+type arrival struct {
+	at   logic.Micros
+	work float64
+}
+
+type job struct {
+	w      *Worker
+	life   uint64
+	link   *wire.Link
+	from   logic.SentryID
+	id     uint64
+	number uint64 // at this worker
+	try    string
+	mark   string
+	work   float64
+	p      logic.ProfileID
+	until  logic.Micros
+	over   bool
+}
+
+// NewWorker makes a worker that is down.
+func NewWorker(s *Stage, line logic.Worker, cores int, speed float64) *Worker {
+	return &Worker{Line: line, Cores: cores, Speed: speed, From: 1, Queue: 16 * cores, SlowBy: 1, stage: s}
+}
+
+// Start has it listen. A worker that has run before comes back cold, one whose start is given as old is warm.
+func (w *Worker) Start(warm bool) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.up {
+		return nil
+	}
+	address := w.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	server, err := wire.Serve(address, wire.DefaultBounds, w.accept)
+	for try := 0; err != nil && try < 50; try++ { // the old socket may not be closed yet
+		time.Sleep(10 * time.Millisecond)
+		server, err = wire.Serve(address, wire.DefaultBounds, w.accept)
+	}
+	if err != nil {
+		return err
+	}
+	w.server, w.Address, w.up, w.drain = server, server.Address, true, false
+	w.life++
+	w.busy, w.queue, w.recent = 0, nil, nil
+	w.started = w.stage.Now()
+	if warm {
+		w.started -= w.Cold
+	}
+	e := audit.Event{Kind: audit.WorkerUp, Worker: w.Line.ID, Build: w.Line.Build, Speed: w.Speed * float64(w.Cores),
+		From: w.From, Warm: w.Cold}
+	if warm {
+		e.Warm = 0
+	}
+	w.stage.See(e)
+	return nil
+}
+
+// Stop ends it at once: what it holds is lost.
+func (w *Worker) Stop() {
+	w.mu.Lock()
+	server := w.server
+	if !w.up {
+		w.mu.Unlock()
+		return
+	}
+	w.up, w.server = false, nil
+	w.life++
+	w.mu.Unlock()
+	w.stage.See(audit.Event{Kind: audit.WorkerDown, Worker: w.Line.ID})
+	server.Close()
+}
+
+// Drain has it take nothing new.
+func (w *Worker) Drain() {
+	w.mu.Lock()
+	w.drain = true
+	w.mu.Unlock()
+}
+
+// Up says whether it runs, since when, and which run that is.
+func (w *Worker) Up() (up bool, started logic.Micros, life uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.up, w.started, w.life
+}
+
+// Set changes its troubles.
+func (w *Worker) Set(f func(*Worker)) {
+	w.mu.Lock()
+	f(w)
+	w.mu.Unlock()
+}
+
+func (w *Worker) warmth(now logic.Micros) float64 {
+	if w.Cold <= 0 {
+		return 1
+	}
+	return w.From + (1-w.From)*min(1, float64(now-w.started)/float64(w.Cold))
+}
+
+var errDeaf = errors.New("reads nothing")
+
+func (w *Worker) accept(l *wire.Link) (wire.Handler, func(*wire.Link, error)) {
+	life, from := w.life, logic.SentryID(-1)
+	return func(l *wire.Link, kind wire.Kind, body []byte) error {
+			w.mu.Lock()
+			deaf, welcome, noProbes := w.Deaf, w.Welcome, w.NoProbes
+			w.mu.Unlock()
+			if deaf {
+				return nil
+			}
+			switch kind {
+			case wire.KindHello:
+				m := &pb.Hello{}
+				if err := unmarshal(body, m); err != nil {
+					return err
+				}
+				from = logic.SentryID(m.Position)
+				l.Context = from
+				time.AfterFunc(welcome, func() { l.Send(wire.KindWelcome, &pb.Welcome{Version: wire.Version}) })
+			case wire.KindWork:
+				var m wire.Work
+				if err := m.Read(body); err != nil {
+					return err
+				}
+				return w.work(l, life, from, &m)
+			case wire.KindCancel:
+				var m wire.Plain
+				if err := m.Read(body); err != nil {
+					return err
+				}
+				w.cancel(l, m.ID)
+			case wire.KindProbe:
+				var m wire.Plain
+				if err := m.Read(body); err != nil {
+					return err
+				}
+				if !noProbes {
+					l.Send(wire.KindProbed, &pb.Probed{Id: m.ID, Held: w.held() + 1})
+				}
+			default:
+				return fmt.Errorf("worker: frame of kind %d", kind)
+			}
+			return nil
+		}, func(l *wire.Link, _ error) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for _, j := range w.queue {
+				if j.link == l && !j.over {
+					j.over = true
+					w.stage.See(j.event(audit.Dropped))
+				}
+			}
+		}
+}
+
+func (w *Worker) held() uint32 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return uint32(w.busy + len(w.queue))
+}
+
+func (j *job) event(k audit.Kind) audit.Event {
+	return audit.Event{Kind: k, Try: j.try, Worker: j.w.Line.ID, HandOff: j.number, Sentry: j.from, Profile: j.p}
+}
+
+// work takes a hand-off. The payload names the client's try, the work, and how long it takes on a core of speed one.
+func (w *Worker) work(l *wire.Link, life uint64, from logic.SentryID, m *wire.Work) error {
+	j := &job{w: w, life: life, link: l, from: from, id: m.ID, p: logic.ProfileID(m.Profile), mark: string(m.Mark),
+		until: w.stage.Now() + logic.Micros(m.Left)}
+	if _, err := fmt.Sscan(string(m.Payload), &j.try, &j.work); err != nil || int(m.Profile) >= len(w.stage.Orders.Profiles) {
+		return fmt.Errorf("worker: payload %q: expected a try and its work", m.Payload)
+	}
+	w.stage.handed(w.Line.Build)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.up || w.life != life {
+		return nil
+	}
+	w.got++
+	j.number = w.got
+	e := j.event(audit.Got)
+	e.Key, e.Span, e.Work, e.Build = logic.Key(m.Key), logic.Micros(m.Left), logic.Micros(j.work), w.Line.Build
+	e.Zone, e.Cell = w.Line.Zone, w.Line.Cell
+	w.stage.See(e)
+	now := w.stage.Now()
+	if w.falls(now, j.work) {
+		w.stage.See(audit.Event{Kind: audit.Fell, Worker: w.Line.ID})
+		go w.Stop()
+		return nil
+	}
+	switch {
+	case w.drain || len(w.queue) >= w.Queue:
+		w.end(j, pb.Ended_TURNED_AWAY)
+	case w.stage.draw() < w.FailQuick:
+		w.end(j, pb.Ended_ERRORED)
+	case w.busy < w.Cores:
+		w.run(j)
+	default:
+		w.queue = append(w.queue, j)
+	}
+	return nil
+}
+
+// falls books what has come and says whether it pushes a cold worker over.
+func (w *Worker) falls(now logic.Micros, work float64) bool {
+	if now-w.started >= w.Cold {
+		w.recent = nil
+		return false
+	}
+	o := w.stage.Orders
+	w.recent = append(w.recent, arrival{now, work})
+	sum := 0.0
+	for len(w.recent) > 0 && w.recent[0].at <= now-o.FallSpan {
+		w.recent = w.recent[1:]
+	}
+	for _, a := range w.recent {
+		sum += a.work
+	}
+	return sum > o.FallMultiple*w.Speed*float64(w.Cores)*w.warmth(now)*float64(o.FallSpan)
+}
+
+func (w *Worker) run(j *job) {
+	now := w.stage.Now()
+	m, slowed := w.stage.makeOf(w.Line.Build)
+	if m.SlowAfter > 0 && now-w.started > m.SlowAfter {
+		slowed *= m.SlowBy
+	}
+	w.busy++
+	took := j.work * w.SlowBy * slowed / (w.Speed * m.Speed * w.warmth(now))
+	time.AfterFunc(span(logic.Micros(took)), func() { w.finish(j, m) })
+}
+
+func (w *Worker) finish(j *job, m Make) {
+	fails := (m.Profile < 0 || m.Profile == j.p) && w.stage.draw() < m.Errors
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.up || w.life != j.life {
+		return
+	}
+	w.busy--
+	p := &w.stage.Orders.Profiles[j.p]
+	if p.Repeat != logic.Labelled || w.stage.firstRun(w.group(p), j.mark, p.Window) {
+		w.stage.See(j.event(audit.Ran))
+	}
+	if fails {
+		w.end(j, pb.Ended_ERRORED)
+	} else {
+		w.end(j, pb.Ended_ANSWERED)
+	}
+	for len(w.queue) > 0 && w.busy < w.Cores {
+		next := w.queue[0]
+		w.queue = w.queue[1:]
+		switch {
+		case next.over:
+		case w.stage.Now() >= next.until: // nobody waits for it any more
+			next.over = true
+			w.stage.See(next.event(audit.Dropped))
+		default:
+			w.run(next)
+		}
+	}
+}
+
+func (w *Worker) group(p *logic.Profile) string {
+	switch p.Scope {
+	case logic.ScopeZone:
+		return fmt.Sprintf("zone %d ", w.Line.Zone)
+	case logic.ScopeCell:
+		return fmt.Sprintf("cell %d ", w.Line.Cell)
+	}
+	return ""
+}
+
+func (w *Worker) end(j *job, how pb.Ended) {
+	j.over = true
+	e := j.event(audit.Ended)
+	if how == pb.Ended_TURNED_AWAY {
+		e.Kind = audit.Turned
+	}
+	e.Good, e.Build = how == pb.Ended_ANSWERED, w.Line.Build
+	w.stage.See(e)
+	j.link.Put(wire.KindDone, &wire.Done{ID: j.id, Ended: uint32(how), Held: uint32(w.busy+len(w.queue)) + 1})
+	j.link.Flush()
+}
+
+// cancel drops a hand-off that still waits.
+func (w *Worker) cancel(l *wire.Link, id uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, j := range w.queue {
+		if j.link == l && j.id == id && !j.over {
+			j.over = true
+			w.stage.See(j.event(audit.Dropped))
+		}
+	}
+}
