--- a/internal/sentry/breach.go
+++ b/internal/sentry/breach.go
@@ -49,6 +49,9 @@
 		return
 	}
 	repeat := s.orders.Profiles[t.profile].Repeat
+	if ruled := s.workers[r.Worker]; ruled == nil || ruled.line.Build >= s.book.news.Build {
+		return // its key has met the trial: once more at an earlier build would break another rule too
+	}
 	// What breaks no other rule: warm, ready, of a build that is not on trial.
 	plain := func(w *worker) bool {
 		return w.line.State == logic.Ready && w.line.Build < s.book.news.Build && s.warm(w)
--- a/standin/client.go
+++ b/standin/client.go
@@ -351,7 +351,7 @@
 		if f.Took == 0 {
 			f.Took = max(1, c.stage.Now()-f.At)
 		}
-			return nil
+		return nil
 	}
 	wait := span(logic.Micros(m.ComeBack))
 	deferred := m.Outcome == uint32(pb.Outcome_DEFERRED)
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -35,6 +35,7 @@
 	life    uint64
 	up      bool
 	drain   bool
+	fell    bool
 	started logic.Micros
 	busy    int
 	queue   []*job
@@ -86,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	w.server, w.Address, w.up, w.drain = server, server.Address, true, false
+	w.server, w.Address, w.up, w.drain, w.fell = server, server.Address, true, false, false
 	w.life++
 	w.busy, w.queue, w.recent = 0, nil, nil
 	w.started = w.stage.Now()
@@ -221,7 +222,7 @@
 	w.stage.handed(w.Line.Build)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.up || w.life != life {
+	if !w.up || w.life != life || w.fell {
 		return nil
 	}
 	w.got++
@@ -232,6 +233,7 @@
 	w.stage.See(e)
 	now := w.stage.Now()
 	if w.falls(now, j.work) {
+		w.fell = true
 		w.stage.See(audit.Event{Kind: audit.Fell, Worker: w.Line.ID})
 		go w.Stop()
 		return nil
