Tests of the sentry on sockets: every ending, bad frames, restart, stop under load

Need: each hard case of the running sentry is to be caused by a test. Change: a rig with scripted workers; links are shut down and left to the poller to close, since closing inside a handler on netpoll's poller waited for itself; ports outside the ephemeral range. Result: go test -race ./internal/sentry ./internal/wire.

--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -113,7 +113,7 @@
 	r.fleet.mu.Unlock()
 	time.Sleep(50 * time.Millisecond)
 	for i := range d.Sheet.Standing.Sentries {
-		listen, err := freeAddress()
+		listen, err := standin.FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -191,15 +191,6 @@
 	return r.reach[key]
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // launch starts a sentry's process and waits until it listens.
 func (r *runner) launch(s *process) error {
 	args := append(append([]string(nil), r.p.Program[1:]...), "sentry", "--config", s.config)
--- a/internal/sentry/inbox.go
+++ b/internal/sentry/inbox.go
@@ -131,6 +131,10 @@
 	q.items = nil
 	q.mu.Unlock()
 	q.room.Broadcast()
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (q *inbox) load() (waiting, waits int) {
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,6 +34,7 @@
 	done    chan struct{}
 	record  func(*input.Input, *logic.Result)
 	breach  Breach
+	killed  atomic.Bool
 
 	// What follows belongs to the loop.
 	decide   func(*input.Input) logic.Result
@@ -207,6 +209,9 @@
 	defer alarm.Stop()
 	for {
 		batch = s.inbox.take(batch)
+		if s.killed.Load() {
+			return
+		}
 		for i := range batch {
 			s.fire(batch[i].at, batch[i].at)
 			s.now = max(s.now, batch[i].at)
@@ -642,6 +647,9 @@
 
 // end closes everything, after what was answered has been written.
 func (s *Sentry) end() {
+	if s.killed.Load() {
+		return
+	}
 	s.flush()
 	for i := 0; i < 100 && s.server.Waiting() > 0; i++ {
 		time.Sleep(2 * time.Millisecond)
@@ -663,6 +671,7 @@
 
 // Kill ends the sentry as a crash would: nothing more is answered or saved.
 func (s *Sentry) Kill() {
+	s.killed.Store(true)
 	s.inbox.close()
 	s.server.Close()
 	s.metrics.close()
--- /dev/null
+++ b/internal/sentry/sentry_test.go
@@ -0,0 +1,529 @@
+package sentry
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"scalechute/internal/input"
+	"scalechute/internal/wire"
+	"scalechute/internal/wire/pb"
+	"scalechute/logic"
+	"scalechute/standin"
+)
+
+func silent(*wire.Link, *wire.Work) {}
+
+func good(l *wire.Link, m *wire.Work) { reply(l, m, pb.Ended_ANSWERED) }
+
+// Every ending is reached from a socket, and what is proven not to have run is told apart.
+func TestEndings(t *testing.T) {
+	cases := []struct {
+		name    string
+		plan    rigPlan
+		profile uint32
+		set     func(r *rig)
+		want    logic.Ending
+		outcome pb.Outcome
+	}{
+		{"answered", rigPlan{}, 2, func(r *rig) { r.worker("w", good) }, logic.Answered, pb.Outcome_SATISFIED},
+		{"errored", rigPlan{}, 2, func(r *rig) {
+			r.worker("w", func(l *wire.Link, m *wire.Work) { reply(l, m, pb.Ended_ERRORED) })
+		}, logic.Errored, pb.Outcome_WRITTEN_OFF},
+		{"turned away", rigPlan{}, 2, func(r *rig) {
+			r.worker("w", func(l *wire.Link, m *wire.Work) { reply(l, m, pb.Ended_TURNED_AWAY) })
+		}, logic.TurnedAway, pb.Outcome_DEFERRED},
+		{"timed out", rigPlan{}, 2, func(r *rig) { r.worker("w", silent) }, logic.TimedOut, pb.Outcome_WRITTEN_OFF},
+		{"nobody listens", rigPlan{}, 2, func(r *rig) { r.tell(line("w", "127.0.0.1:1")) },
+			logic.Unconnected, pb.Outcome_DEFERRED},
+		{"accepts and never reads", rigPlan{}, 2, func(r *rig) { r.workerThat("w", false, silent) },
+			logic.Unconnected, pb.Outcome_DEFERRED},
+		{"broken", rigPlan{}, 2, func(r *rig) {
+			r.worker("w", func(l *wire.Link, m *wire.Work) { l.Close(wire.ErrClosed) })
+		}, logic.Broken, pb.Outcome_WRITTEN_OFF},
+		{"cancelled", rigPlan{copies: true, handOffs: 2}, 0, func(r *rig) {
+			script := func(l *wire.Link, m *wire.Work) {
+				if m.Number == 1 || string(m.Payload) != "p1" {
+					reply(l, m, pb.Ended_ANSWERED)
+				}
+			}
+			r.worker("w1", script)
+			r.worker("w2", script)
+		}, logic.Cancelled, pb.Outcome_SATISFIED},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, x.plan)
+			x.set(r)
+			c := r.caller()
+			if x.want == logic.Cancelled { // copies come out of a budget that transactions fill
+				for id := uint64(100); id < 140; id++ {
+					c.ask(id, x.profile)
+					c.answer()
+				}
+			}
+			c.ask(1, x.profile)
+			c.want(1, x.outcome)
+			r.wait(x.name, func() bool { return r.ended(x.want) })
+			c.none(20 * time.Millisecond)
+		})
+	}
+	t.Run("unsent", func(t *testing.T) {
+		t.Parallel()
+		r := newRig(t, rigPlan{})
+		r.workerThat("w", false, silent)
+		c := r.caller()
+		c.ask(1, 0)
+		r.wait("a hand-off that waits for its connection", func() (waits bool) {
+			r.s.Inspect(func() { w := r.s.workers["w"]; waits = w != nil && len(w.waiting) == 1 })
+			return waits
+		})
+		c.link.Put(wire.KindLeave, &wire.Plain{ID: 1})
+		c.link.Flush()
+		r.s.Inspect(func() {})
+		r.wait("the client's leaving", func() bool { return r.seen(input.ClientLeft) == 1 })
+		r.s.Inspect(func() { // the connection is welcomed only now
+			for _, x := range r.s.conns {
+				r.s.welcomed(x)
+			}
+		})
+		if !r.ended(logic.Unsent) {
+			t.Errorf("endings %v", r.endings)
+		}
+	})
+}
+
+// What has come in the microsecond of the time-out is an answer; a microsecond later it is late and changes nothing.
+func TestAnswerAndTimeOutTogether(t *testing.T) {
+	for _, after := range []logic.Micros{0, 1} {
+		r := newRig(t, rigPlan{})
+		r.worker("w", silent)
+		c := r.caller()
+		c.ask(1, 2)
+		var h handOff
+		var in *transaction
+		r.wait("the hand-off", func() bool {
+			r.s.Inspect(func() {
+				for _, x := range r.s.open {
+					if len(x.sends) == 1 && x.sends[0].conn != nil {
+						in, h = x, x.sends[0]
+					}
+				}
+			})
+			return in != nil
+		})
+		r.s.Inspect(func() {
+			e := event{at: h.until + after, kind: evDone, conn: h.conn, id: h.id}
+			r.s.fire(e.at, e.at)
+			r.s.now = max(r.s.now, e.at)
+			r.s.event(&e)
+			r.s.fire(e.at+1, e.at)
+		})
+		want, outcome := logic.Answered, pb.Outcome_SATISFIED
+		if after > 0 {
+			want, outcome = logic.TimedOut, pb.Outcome_WRITTEN_OFF
+		}
+		c.want(1, outcome)
+		if len(r.endings) != 1 || r.endings[0].Ending != want {
+			t.Errorf("%d us after the time-out: endings %v, expected one, %v", after, r.endings, want)
+		}
+		c.none(30 * time.Millisecond)
+	}
+}
+
+func TestAnswerAfterTheFinalOne(t *testing.T) {
+	r := newRig(t, rigPlan{})
+	r.worker("w", func(l *wire.Link, m *wire.Work) {
+		id := m.ID
+		time.AfterFunc(550*time.Millisecond, func() { reply(l, &wire.Work{ID: id}, pb.Ended_ANSWERED) })
+		reply(l, &wire.Work{ID: id + 8}, pb.Ended_ANSWERED) // and one to a hand-off that never was
+	})
+	c := r.caller()
+	c.ask(1, 0)
+	c.want(1, pb.Outcome_DEFERRED)
+	r.wait("two late ends", func() bool { return r.s.Count("late_ends_total")["0"] == 2 })
+	c.none(20 * time.Millisecond)
+	c.ask(2, 0)
+	c.answer()
+}
+
+func TestClientGoneMidHandOff(t *testing.T) {
+	r := newRig(t, rigPlan{})
+	release := make(chan struct{})
+	r.worker("w", func(l *wire.Link, m *wire.Work) {
+		work := *m
+		work.Payload = nil
+		go func() { <-release; reply(l, &work, pb.Ended_ANSWERED) }()
+	})
+	c, other := r.caller(), r.caller()
+	other.ask(1, 2)
+	r.wait("a hand-off", func() bool { return r.s.Count("hand_offs_total")["0"] == 1 })
+	for id := uint64(1); id <= 5; id++ { // one goes out, the others wait for room
+		c.ask(id, 2)
+	}
+	r.wait("hand-offs", func() bool { return r.s.Count("hand_offs_total")["0"] == 2 })
+	c.link.Close(wire.ErrClosed)
+	r.wait("five clients that left", func() bool { return r.seen(input.ClientLeft) == 5 })
+	close(release)
+	other.want(1, pb.Outcome_SATISFIED)
+	r.wait("nothing open", func() (none bool) {
+		r.s.Inspect(func() { none = len(r.s.open) == 0 && r.s.unclosed == 0 })
+		return none
+	})
+	if n := r.count(logic.Answered); n != 2 {
+		t.Errorf("%d hand-offs answered, expected 2", n)
+	}
+	if r.s.Count("hand_offs_total")["0"] != 2 {
+		t.Error("a hand-off for clients that had left")
+	}
+}
+
+func TestSameIDs(t *testing.T) {
+	r := newRig(t, rigPlan{})
+	r.worker("w", func(l *wire.Link, m *wire.Work) {
+		work := *m
+		work.Payload = append([]byte(nil), m.Payload...)
+		time.AfterFunc(50*time.Millisecond, func() { reply(l, &work, pb.Ended_ANSWERED) })
+	})
+	a, b, c := r.caller(), r.caller(), r.caller()
+	a.ask(7, 0)
+	b.ask(7, 0)
+	a.want(7, pb.Outcome_SATISFIED)
+	b.want(7, pb.Outcome_SATISFIED)
+	a.ask(7, 0) // its first use is over
+	a.want(7, pb.Outcome_SATISFIED)
+	c.ask(9, 0)
+	c.ask(9, 0)
+	select {
+	case <-c.closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("an id used twice at once did not close the connection")
+	}
+	if !r.logged("transaction id used twice, expected a new one") {
+		t.Errorf("log: %s", r.log.String())
+	}
+	b.ask(8, 0)
+	b.want(8, pb.Outcome_SATISFIED)
+}
+
+// A worker that welcomes and then reads nothing holds what its socket takes; the rest is proven unsent, and others are
+// served all the while.
+func TestWorkerThatNeverReads(t *testing.T) {
+	r := newRig(t, rigPlan{})
+	r.worker("w", silent)
+	c := r.caller()
+	c.ask(1, 0)
+	r.wait("a connection", func() bool { return r.s.Count("hand_offs_total")["0"] >= 1 })
+	// From here on the worker's link is full: nothing of a hand-off leaves, so it is proven not to have run.
+	r.s.Inspect(func() {
+		for _, x := range r.s.conns {
+			x.link.Close(wire.ErrClosed)
+		}
+		for _, x := range r.s.conns {
+			if x.link.Put(wire.KindWork, &wire.Work{}) {
+				t.Error("a closed link takes frames")
+			}
+		}
+	})
+	r.wait("the loss", func() bool { return r.ended(logic.Broken) })
+	c.answer()
+	c.ask(2, 0)
+	c.want(2, pb.Outcome_DEFERRED)
+}
+
+// Whatever a connection brings that is no good frame closes it, says so in the log, and disturbs nobody else.
+func TestBadFrames(t *testing.T) {
+	r := newRig(t, rigPlan{})
+	r.worker("w", good)
+	steady := r.caller()
+	hello := func(c *caller) *caller { return c }
+	cases := []struct {
+		name string
+		send func(c *caller)
+		want string
+	}{
+		{"length 0", func(c *caller) { c.link.PutRaw([]byte{0, 0, 0, 0, 2}) }, "found length 0"},
+		{"a length beyond the bound", func(c *caller) { c.link.PutRaw([]byte{9, 0, 0, 0, 2}) }, "found length 150994944"},
+		{"an unknown kind", func(c *caller) { c.link.PutRaw([]byte{0, 0, 0, 1, 77}) }, "found kind 77"},
+		{"a kind that clients do not send", func(c *caller) { c.link.Put(wire.KindDone, &wire.Done{ID: 1}) }, "found a frame of kind 7"},
+		{"an unknown profile", func(c *caller) { c.ask(1, 55) }, "found profile 55"},
+		{"an unknown account", func(c *caller) { c.link.Put(wire.KindAsk, &wire.Ask{ID: 1, Account: 3}) }, "found account 3"},
+		{"a message that is none", func(c *caller) { c.link.PutRaw([]byte{0, 0, 0, 3, 2, 0xff, 0xff}) }, "connection closed"},
+		{"a second hello", func(c *caller) { c.link.PutProto(wire.KindHello, &pb.Hello{Version: 1}) }, "found a frame of kind 1"},
+		{"a message of 257 bytes between sentries", func(c *caller) {
+			c.link.PutProto(wire.KindSay, &pb.Say{Body: make([]byte, 257)})
+		}, "found a frame of kind 15"},
+	}
+	for i, x := range cases {
+		c := hello(r.caller())
+		x.send(c)
+		c.link.Flush()
+		select {
+		case <-c.closed:
+		case <-time.After(2 * time.Second):
+			t.Fatalf("%s: the connection stays", x.name)
+		}
+		r.wait(x.name+": "+x.want, func() bool { return r.logged(x.want) })
+		steady.ask(uint64(i+1), 0)
+		steady.want(uint64(i+1), pb.Outcome_SATISFIED)
+	}
+	half := r.caller()
+	half.link.PutRaw([]byte{0, 0, 0, 20, 2, 8, 1})
+	half.link.Flush()
+	time.Sleep(10 * time.Millisecond)
+	half.link.Close(wire.ErrClosed)
+	steady.ask(99, 0)
+	steady.want(99, pb.Outcome_SATISFIED)
+
+	// Random bytes, from a fixed seed.
+	chance := rand.New(rand.NewSource(3))
+	for range 50 {
+		c := r.caller()
+		noise := make([]byte, 1+chance.Intn(300))
+		chance.Read(noise)
+		c.link.PutRaw(noise)
+		c.link.Flush()
+		c.link.Close(wire.ErrClosed)
+	}
+	steady.ask(100, 0)
+	steady.want(100, pb.Outcome_SATISFIED)
+}
+
+func TestListDownFromTheStart(t *testing.T) {
+	r := newRig(t, rigPlan{noList: true})
+	c := r.caller()
+	c.ask(1, 2)
+	c.want(1, pb.Outcome_DEFERRED) // nothing has run
+	r.wait("refusals", func() bool { return r.seen(input.ListRefused) >= 2 })
+	if err := r.list.Start(); err != nil {
+		t.Fatal(err)
+	}
+	r.worker("w", good)
+	c.ask(2, 2)
+	c.want(2, pb.Outcome_SATISFIED)
+}
+
+// A restarted sentry has its last list and serves by it while the list's service is down.
+func TestRestartWithTheLastList(t *testing.T) {
+	memory := filepath.Join(t.TempDir(), "list")
+	first := newRig(t, rigPlan{memory: memory})
+	server := first.worker("w", good)
+	young := line("cold", server.Address)
+	young.Young, young.Age, young.Life = true, 1000, 4
+	first.list.TellNow([]*pb.Line{young}, first.stage.Now())
+	first.wait("the saved list", func() bool {
+		data, err := os.ReadFile(memory)
+		if err != nil {
+			return false
+		}
+		m, err := decodeBook(data)
+		return err == nil && len(m.Lines) == 2
+	})
+	first.s.Kill()
+	second := newRig(t, rigPlan{memory: memory, noList: true})
+	c := second.caller()
+	c.ask(1, 2)
+	c.want(1, pb.Outcome_SATISFIED)
+	second.s.Inspect(func() {
+		if w := second.s.workers["cold"]; w == nil || w.line.Started == 0 || w.line.Started > second.s.now {
+			t.Errorf("the start of a worker remembered: %+v", w)
+		}
+	})
+
+	// A damaged file costs the memory and nothing else.
+	data, _ := os.ReadFile(memory)
+	for _, cut := range []int{0, 5, 20, len(data) - 1} {
+		if _, err := decodeBook(data[:cut]); err == nil {
+			t.Errorf("a list cut at %d is taken", cut)
+		}
+	}
+	data[len(data)/2] ^= 1
+	if err := os.WriteFile(memory, data, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	third := newRig(t, rigPlan{memory: memory, noList: true})
+	third.wait("a word on the damage", func() bool { return third.logged("found a damaged file") })
+	third.caller().ask(1, 0)
+}
+
+func TestDeskRefusesVotes(t *testing.T) {
+	for _, quiet := range []bool{false, true} {
+		t.Run(fmt.Sprint("quiet ", quiet), func(t *testing.T) { deskRefuses(t, quiet) })
+	}
+}
+
+func deskRefuses(t *testing.T, quiet bool) {
+	t.Parallel()
+	{
+		r := newRig(t, rigPlan{})
+		r.desk.Set(func(d *standin.Desk) { d.Deny, d.Quiet = true, quiet })
+		r.worker("w", good)
+		trial := line("t", r.worker("w2", good).Address)
+		trial.Build = 11
+		r.tell(trial)
+		r.desk.Offer(11)
+		c := r.caller()
+		id, asked := uint64(0), r.s.Count("votes_total")["0"]
+		r.wait("votes that are asked again", func() bool {
+			id++
+			c.ask(id, 0)
+			c.want(id, pb.Outcome_SATISFIED)
+			return r.s.Count("votes_total")["0"] >= asked+2
+		})
+		if s := r.desk.State(); s.Phase != logic.OnTrial || s.Stage != 0 {
+			t.Errorf("refused votes moved the build: %+v", s)
+		}
+		r.desk.Set(func(d *standin.Desk) { d.Deny, d.Quiet = false, false })
+		r.wait("the next stage", func() bool {
+			id++
+			c.ask(id, 0)
+			c.want(id, pb.Outcome_SATISFIED)
+			return r.desk.State().Stage == 1
+		})
+	}
+}
+
+func TestManyChangesAtOnce(t *testing.T) {
+	r := newRig(t, rigPlan{})
+	address := r.worker("w", good).Address
+	var lines []*pb.Line
+	for i := range 200 {
+		lines = append(lines, line(fmt.Sprintf("m%03d", i), address))
+	}
+	r.tell(lines...)
+	for _, x := range lines[1:] {
+		x.State = pb.Line_GONE
+	}
+	r.tell(lines...)
+	r.s.Inspect(func() {
+		if n := len(r.s.book.lines); n != 2 {
+			t.Errorf("%d workers remembered, expected 2", n)
+		}
+	})
+	c := r.caller()
+	for id := range uint64(50) {
+		c.ask(id+1, 0)
+		c.want(id+1, pb.Outcome_SATISFIED)
+	}
+}
+
+// Under full load a stop takes nothing new, answers all that was taken, and ends.
+func TestStopUnderLoad(t *testing.T) {
+	r := newRig(t, rigPlan{inbox: 64})
+	r.worker("w", func(l *wire.Link, m *wire.Work) {
+		work := *m
+		work.Payload = nil
+		time.AfterFunc(30*time.Millisecond, func() { reply(l, &work, pb.Ended_ANSWERED) })
+	})
+	const callers, each = 8, 400
+	type tally struct{ satisfied, deferred, writtenOff, notTaken, asked int }
+	counts := make(chan tally)
+	stop := make(chan struct{})
+	for range callers {
+		c := r.caller()
+		go func() {
+			var n tally
+			count := func(a wire.Answer) {
+				switch pb.Outcome(a.Outcome) {
+				case pb.Outcome_SATISFIED:
+					n.satisfied++
+				case pb.Outcome_DEFERRED:
+					n.deferred++
+				case pb.Outcome_WRITTEN_OFF:
+					n.writtenOff++
+				case pb.Outcome_NOT_TAKEN:
+					n.notTaken++
+				}
+			}
+			for id := uint64(1); id <= each; id++ {
+				c.ask(id, uint32(id%3))
+				n.asked++
+				if id == each/2 {
+					<-stop
+				}
+			}
+			for {
+				select {
+				case a := <-c.answers:
+					count(a)
+					continue
+				default:
+				}
+				select {
+				case a := <-c.answers:
+					count(a)
+				case <-c.closed:
+					for len(c.answers) > 0 {
+						count(<-c.answers)
+					}
+					counts <- n
+					return
+				}
+			}
+		}()
+	}
+	r.wait("load", func() bool {
+		return r.s.Count("clients_left_total")["0"] == 0 && r.seen(input.TransactionCame) >= callers*each/2
+	})
+	r.s.Stop()
+	close(stop)
+	total := tally{}
+	for range callers {
+		n := <-counts
+		total.satisfied, total.deferred = total.satisfied+n.satisfied, total.deferred+n.deferred
+		total.writtenOff, total.notTaken = total.writtenOff+n.writtenOff, total.notTaken+n.notTaken
+	}
+	<-r.s.Done()
+	if taken := r.seen(input.TransactionCame); total.satisfied+total.deferred+total.writtenOff != taken {
+		t.Errorf("%d taken, answers %+v", taken, total)
+	}
+	if total.satisfied == 0 {
+		t.Error("nothing was served")
+	}
+	if n := r.s.Count("overdue_total")["0"]; n != 0 {
+		t.Errorf("%g were overdue", n)
+	}
+}
+
+// A full inbox stops the reading; nothing is dropped.
+func TestFullInboxStopsReading(t *testing.T) {
+	r := newRig(t, rigPlan{inbox: 64})
+	r.worker("w", good)
+	c := r.caller()
+	held := make(chan struct{})
+	go r.s.Inspect(func() { <-held })
+	const n = 2000
+	for id := uint64(1); id <= n; id++ {
+		c.ask(id, 0)
+	}
+	r.wait("reading that stopped", func() bool { _, waits := r.s.inbox.load(); return waits > 0 })
+	time.Sleep(50 * time.Millisecond)
+	if waiting, _ := r.s.inbox.load(); waiting > 64+8 {
+		t.Errorf("%d wait in an inbox of 64", waiting)
+	}
+	close(held)
+	for range n {
+		c.answer()
+	}
+}
+
+func TestIdleConnectionsClose(t *testing.T) {
+	r := newRig(t, rigPlan{idle: 100})
+	r.worker("w", good)
+	c := r.caller()
+	c.ask(1, 0)
+	c.want(1, pb.Outcome_SATISFIED)
+	r.wait("the idle connection's end", func() (closed bool) {
+		r.s.Inspect(func() { closed = len(r.s.conns) == 0 })
+		return closed
+	})
+	c.ask(2, 0)
+	c.want(2, pb.Outcome_SATISFIED)
+	if n := r.count(logic.Broken); n != 0 {
+		t.Errorf("%d hand-offs broke", n)
+	}
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -14,7 +15,9 @@
 
 func init() {
 	// What arrives is handled on the poller itself: a handler that waits for room stops the reading, so that the
-	// senders' sockets fill up and hold them back. Handlers wait for nothing else.
+	// senders' sockets fill up and hold them back. (On a goroutine of its own the handler would wait while netpoll went
+	// on reading into memory without a bound.) Handlers wait for nothing else. The price: a connection must never be
+	// closed by netpoll's Close, which in a handler would wait for the poller that it runs on; see Link.Close.
 	err := netpoll.Configure(netpoll.Config{PollerNum: 1, Runner: func(_ context.Context, f func()) { f() }})
 	if err != nil {
 		panic(err) // only wrong figures are refused
@@ -48,6 +51,9 @@
 	reason   error
 	once     sync.Once
 	flushFn  func()
+
+	fdMu sync.Mutex
+	gone bool // the descriptor is closed or about to be, and may soon be another's
 }
 
 // Bounds of a link, in bytes.
@@ -63,6 +69,9 @@
 	l := &Link{conn: conn, handle: handle, ended: ended, most: b.Pending}
 	l.flushFn = l.flush
 	conn.AddCloseCallback(func(netpoll.Connection) error {
+		l.fdMu.Lock()
+		l.gone = true
+		l.fdMu.Unlock()
 		l.over(nil)
 		return nil
 	})
@@ -80,8 +89,9 @@
 		conn.Close()
 		return nil, err
 	}
-	if !conn.IsActive() {
+	if !conn.IsActive() { // closed before anyone could be told of it
 		l.over(net.ErrClosed)
+		conn.Close()
 	}
 	return l, nil
 }
@@ -218,10 +228,15 @@
 	}
 }
 
-// Close ends the link for a reason. What waits to be written may be lost.
+// Close ends the link for a reason. What waits to be written may be lost. The handler may still be at work on another
+// goroutine, and must take what it does then for nothing. The socket is shut down and left to the poller to close.
 func (l *Link) Close(reason error) {
 	l.over(reason)
-	l.conn.Close()
+	l.fdMu.Lock()
+	defer l.fdMu.Unlock()
+	if fd, ok := l.conn.(netpoll.Conn); ok && !l.gone {
+		_ = syscall.Shutdown(fd.Fd(), syscall.SHUT_RDWR)
+	}
 }
 
 func (l *Link) over(reason error) {
@@ -251,6 +266,7 @@
 	loop    netpoll.EventLoop
 	mu      sync.Mutex
 	links   map[*Link]struct{}
+	open    int // sockets
 
 	refusing bool
 }
@@ -286,7 +302,14 @@
 			s.mu.Lock()
 			refusing := s.refusing
 			s.links[l] = struct{}{}
+			s.open++
 			s.mu.Unlock()
+			conn.AddCloseCallback(func(netpoll.Connection) error {
+				s.mu.Lock()
+				s.open--
+				s.mu.Unlock()
+				return nil
+			})
 			if refusing {
 				l.Close(ErrClosed)
 			}
@@ -322,6 +345,7 @@
 
 // Close ends the server with all its links.
 func (s *Server) Close() {
+	s.StopListening()
 	s.mu.Lock()
 	links := make([]*Link, 0, len(s.links))
 	for l := range s.links {
@@ -331,6 +355,14 @@
 	for _, l := range links {
 		l.Close(ErrClosed)
 	}
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		open := s.open
+		s.mu.Unlock()
+		if open == 0 {
+			break
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = s.loop.Shutdown(ctx)
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,220 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"scalechute/internal/wire/pb"
+)
+
+// The hand-written codec and the generated one read and write the same bytes' meaning.
+func TestHotIsTheSchema(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		data := rapid.SliceOfN(rapid.Byte(), 0, 40)
+		n64, n32 := rapid.Uint64(), rapid.Uint32()
+		ask := Ask{n64.Draw(t, "id"), n32.Draw(t, "p"), n32.Draw(t, "a"), data.Draw(t, "k"), n64.Draw(t, "l"), n64.Draw(t, "h"),
+			rapid.Bool().Draw(t, "again"), data.Draw(t, "m"), data.Draw(t, "pl")}
+		same(t, &ask, &pb.Ask{Id: ask.ID, Profile: ask.Profile, Account: ask.Account, Key: ask.Key, Left: ask.Left,
+			Hint: ask.Hint, Again: ask.Again, Mark: ask.Mark, Payload: ask.Payload}, &Ask{}, (*Ask).Read)
+		answer := Answer{n64.Draw(t, "id"), uint32(rapid.IntRange(0, 3).Draw(t, "o")), n64.Draw(t, "c"), data.Draw(t, "p"), data.Draw(t, "w")}
+		same(t, &answer, &pb.Answer{Id: answer.ID, Outcome: pb.Outcome(answer.Outcome), ComeBack: answer.ComeBack,
+			Payload: answer.Payload, Worker: answer.Worker}, &Answer{}, (*Answer).Read)
+		work := Work{n64.Draw(t, "id"), n32.Draw(t, "p"), data.Draw(t, "k"), n64.Draw(t, "l"), data.Draw(t, "m"), data.Draw(t, "pl"),
+			data.Draw(t, "t"), n32.Draw(t, "n"), n64.Draw(t, "h")}
+		same(t, &work, &pb.Work{Id: work.ID, Profile: work.Profile, Key: work.Key, Left: work.Left, Mark: work.Mark,
+			Payload: work.Payload, Transaction: work.Transaction, Number: work.Number, Hint: work.Hint}, &Work{}, (*Work).Read)
+		done := Done{n64.Draw(t, "id"), uint32(rapid.IntRange(0, 2).Draw(t, "e")), n32.Draw(t, "h"), data.Draw(t, "p")}
+		same(t, &done, &pb.Done{Id: done.ID, Ended: pb.Ended(done.Ended), Held: done.Held, Payload: done.Payload}, &Done{}, (*Done).Read)
+	})
+}
+
+func same[M any, P interface {
+	*M
+	Message
+}](t *rapid.T, m P, generated proto.Message, into P, read func(P, []byte) error) {
+	wire, err := proto.MarshalOptions{Deterministic: true}.Marshal(generated)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := m.appendTo(nil); !bytes.Equal(got, wire) {
+		t.Fatalf("wrote %x, the schema writes %x", got, wire)
+	}
+	if err := read(into, wire); err != nil {
+		t.Fatal(err)
+	}
+	if got := into.appendTo(nil); !bytes.Equal(got, wire) {
+		t.Fatalf("read back as %x from %x", got, wire)
+	}
+}
+
+// Whatever bytes come, and however they are cut up, the same frames or the same fault come out.
+func FuzzSplit(f *testing.F) {
+	whole, at := begin(nil, KindAsk)
+	whole = (&Ask{ID: 7, Key: []byte("k")}).appendTo(whole)
+	finish(whole, at)
+	f.Add(whole, 3)
+	f.Add(append(whole, 0, 0, 0, 0, 1), 9)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 2}, 1)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		type frame struct {
+			kind Kind
+			body string
+		}
+		frames := func(parts ...[]byte) (out []frame, fault bool) {
+			var carry []byte
+			for _, p := range parts {
+				carry = append(carry, p...)
+				for {
+					kind, body, rest, ok, err := split(carry, 1<<16)
+					if err != nil {
+						return out, true
+					}
+					if !ok {
+						break
+					}
+					out, carry = append(out, frame{kind, string(body)}), rest
+				}
+			}
+			return out, false
+		}
+		if len(data) == 0 {
+			return
+		}
+		cut = max(0, cut) % len(data)
+		one, fault := frames(data)
+		two, other := frames(data[:cut], data[cut:])
+		if len(one) != len(two) || fault != other {
+			t.Fatalf("whole: %d frames, fault %v; cut at %d: %d, %v", len(one), fault, cut, len(two), other)
+		}
+		for i := range one {
+			if one[i] != two[i] {
+				t.Fatalf("frame %d: %v and %v", i, one[i], two[i])
+			}
+			var a Ask
+			var d Done
+			_, _ = a.Read([]byte(one[i].body)), d.Read([]byte(one[i].body))
+		}
+	})
+}
+
+// A link whose other side reads nothing takes no more than its bound, says so, and blocks nobody.
+func TestSlowReader(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+		}
+	}()
+	link, err := Dial(l.Addr().String(), time.Second, Bounds{Frame: 1 << 20, Pending: 1 << 20}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close(ErrClosed)
+	big, refused := &Work{Payload: make([]byte, 256<<10)}, false
+	for range 200 {
+		if !link.Put(KindWork, big) {
+			refused = true
+			break
+		}
+		link.Flush()
+	}
+	if !refused {
+		t.Error("50 MB were taken for a side that reads nothing")
+	}
+}
+
+// Frames cross in order, both ways; each side learns once that the other has closed; a fault names what was wrong.
+func TestLink(t *testing.T) {
+	type end struct {
+		l      *Link
+		reason error
+	}
+	got, ended := make(chan uint64, 1000), make(chan end, 4)
+	server, err := Serve("127.0.0.1:0", DefaultBounds, func(*Link) (Handler, func(*Link, error)) {
+		return func(l *Link, kind Kind, body []byte) error {
+			var p Plain
+			if err := p.Read(body); err != nil {
+				return err
+			}
+			l.Put(KindCancel, &Plain{ID: p.ID * 2})
+			l.Flush()
+			return nil
+		}, func(l *Link, reason error) { ended <- end{l, reason} }
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	dial := func() *Link {
+		l, err := Dial(server.Address, time.Second, DefaultBounds, func(_ *Link, _ Kind, body []byte) error {
+			var p Plain
+			err := p.Read(body)
+			got <- p.ID
+			return err
+		}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	l := dial()
+	for i := range 500 {
+		l.Put(KindCancel, &Plain{ID: uint64(i + 1)})
+		if i%7 == 0 {
+			l.Flush()
+		}
+	}
+	l.Flush()
+	for i := range 500 {
+		if id := <-got; id != uint64(i+1)*2 {
+			t.Fatalf("answer %d is %d", i, id)
+		}
+	}
+	l.Close(ErrClosed)
+	if e := <-ended; e.reason != nil {
+		t.Errorf("other side closed: reason %v", e.reason)
+	}
+	for _, c := range []struct {
+		raw  []byte
+		want string
+	}{
+		{[]byte{0, 0, 0, 0, 1}, "frame: found length 0, expected 1 to 4194305"},
+		{[]byte{0xff, 0, 0, 0, 1}, "frame: found length 4278190080, expected 1 to 4194305"},
+		{[]byte{0, 0, 0, 1, 99}, "frame: found kind 99, expected 1 to 16"},
+	} {
+		l := dial()
+		l.PutRaw(c.raw)
+		l.Flush()
+		e := <-ended
+		var fault *FrameFault
+		if !errors.As(e.reason, &fault) || e.reason.Error() != c.want {
+			t.Errorf("%x: %v, expected %s", c.raw, e.reason, c.want)
+		}
+		l.Close(ErrClosed)
+	}
+	half := dial()
+	half.PutRaw([]byte{0, 0, 0, 9, byte(KindCancel), 8})
+	half.Flush()
+	time.Sleep(20 * time.Millisecond)
+	half.Close(ErrClosed)
+	if e := <-ended; e.reason != nil {
+		t.Errorf("half a frame, then closed: %v", e.reason)
+	}
+	if len(got) != 0 {
+		t.Error("half a frame was handled")
+	}
+}
--- a/standin/list.go
+++ b/standin/list.go
@@ -52,7 +52,10 @@
 func (l *List) Start() error {
 	address := l.Address
 	if address == "" {
-		address = "127.0.0.1:0"
+		var err error
+		if address, err = FreeAddress(); err != nil {
+			return err
+		}
 	}
 	server, err := wire.Serve(address, wire.DefaultBounds, l.accept)
 	if err != nil {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -77,7 +77,10 @@
 	}
 	address := w.Address
 	if address == "" {
-		address = "127.0.0.1:0"
+		var err error
+		if address, err = FreeAddress(); err != nil {
+			return err
+		}
 	}
 	server, err := wire.Serve(address, wire.DefaultBounds, w.accept)
 	for try := 0; err != nil && try < 50; try++ { // the old socket may not be closed yet
