--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -278,10 +278,11 @@
 		return nil, err
 	}
 	s := &Server{Address: listener.Addr().String(), links: map[*Link]struct{}{}}
-	wrapped, err := netpoll.ConvertListener(listener)
+	converted, err := netpoll.ConvertListener(listener)
 	if err != nil {
 		return nil, err
 	}
+	wrapped := &announced{Listener: converted, ready: make(chan struct{})}
 	type linkKey struct{}
 	loop, err := netpoll.NewEventLoop(
 		func(ctx context.Context, conn netpoll.Connection) error {
@@ -320,9 +321,22 @@
 	}
 	s.loop = loop
 	go loop.Serve(wrapped)
+	<-wrapped.ready // else a Close that comes at once would find nothing to close
 	return s, nil
 }
 
+// announced tells when the event loop has taken up a listener.
+type announced struct {
+	netpoll.Listener
+	once  sync.Once
+	ready chan struct{}
+}
+
+func (a *announced) Fd() int {
+	a.once.Do(func() { close(a.ready) })
+	return a.Listener.Fd()
+}
+
 // StopListening closes each new connection at once and keeps those that are open. (Netpoll's own shutdown would
 // close every connection on which nothing is being read, whatever is owed on it.)
 func (s *Server) StopListening() {
