--- /dev/null
+++ b/cmd/scalechute/drill_test.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"scalechute/internal/drill"
+	"scalechute/internal/sentry"
+)
+
+// The test binary stands in for the program: the drills' sentries are processes of it.
+func TestMain(m *testing.M) {
+	if os.Getenv("SCALECHUTE_COMMAND") != "" {
+		main()
+		return
+	}
+	os.Setenv("SCALECHUTE_COMMAND", "1")
+	os.Exit(m.Run())
+}
+
+func run(t *testing.T, day *drill.Day, breach string) *drill.Result {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	r, err := drill.Run(day, drill.Plan{Program: []string{self}, Dir: dir, Break: breach, Say: t.Logf})
+	if err != nil {
+		logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+		for _, l := range logs {
+			data, _ := os.ReadFile(l)
+			t.Logf("%s", data)
+		}
+		t.Fatal(err)
+	}
+	return r
+}
+
+func load(t *testing.T, name string, change ...string) *drill.Day {
+	t.Helper()
+	data, err := os.ReadFile("../../drills/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := drill.Parse(name, []byte(strings.NewReplacer(change...).Replace(string(data))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func show(r *drill.Result) string {
+	var b bytes.Buffer
+	drill.Print(&b, r)
+	return b.String()
+}
+
+// A short day with a kill, a stop of 3 s, a roll, a crash and a cut: every account is closed and every rule kept.
+func TestShortDay(t *testing.T) {
+	t.Parallel()
+	r := run(t, load(t, "short-day.hcl"), "")
+	if !r.Good() {
+		t.Errorf("%s", show(r))
+	}
+	f := r.Finding
+	if f.Asked < 500 || f.Answered < f.Asked/2 || r.Trial == 0 || r.Restarted < 6 {
+		t.Errorf("too little happened for this to say anything:\n%s", show(r))
+	}
+}
+
+// Each rule broken on purpose is found, and no other.
+func TestBreaches(t *testing.T) {
+	for i, word := range sentry.BreachNames {
+		t.Run(word, func(t *testing.T) {
+			t.Parallel()
+			r := run(t, load(t, "breach.hcl"), word)
+			if !slices.Equal(r.Rules, []int{i + 1}) {
+				t.Errorf("rules %v broken, expected %d\n%s", r.Rules, i+1, show(r))
+			}
+		})
+	}
+}
+
+// Every kind of trouble that a day of the bench names has a form here and can be played.
+func TestTroublesOfADay(t *testing.T) {
+	t.Parallel()
+	d := load(t, "breach.hcl", `length   = "9s"`, `length = "7s"`)
+	kinds := slices.DeleteFunc(slices.Clone(drill.Kinds), func(k string) bool { return k == "bad_build" })
+	var troubles []string
+	for i, k := range kinds {
+		troubles = append(troubles, fmt.Sprintf(`{"kind":%q,"at":%d,"len":1500000,"which":1,"on":[1,2],"size":0.5}`,
+			k, 500_000+i*200_000))
+	}
+	day := fmt.Sprintf(`{"length":7000000,"zones":["a","b"],"servers":[1,2,3,4,5,6,7,8],"balancers":[1,2,3,4],
+		"troubles":[%s],"fam":{"releases":[{"at":1000000,"bad":"class","class":1,"strength":0.5,"speed":1}]}}`,
+		strings.Join(troubles, ","))
+	if err := d.Take([]byte(day)); err != nil {
+		t.Fatal(err)
+	}
+	if len(d.Troubles) != len(kinds) || len(d.Releases) != 1 {
+		t.Fatalf("%d troubles and %d releases taken", len(d.Troubles), len(d.Releases))
+	}
+	r := run(t, d, "")
+	if !r.Good() {
+		t.Errorf("%s", show(r))
+	}
+	for _, bad := range []string{"", "{}", `{"length":1,"troubles":[{"kind":"flood"}]}`} {
+		if d.Take([]byte(bad)) == nil {
+			t.Errorf("%q is taken for a day", bad)
+		}
+	}
+}
+
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	bad := filepath.Join(dir, "bad.hcl")
+	if err := os.WriteFile(bad, []byte("sentry {}\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		args     []string
+		out, err string
+	}{
+		{[]string{"check", "../../deploy/sentry.hcl"}, "good; sentry 0 of 2, 3 profiles", ""},
+		{[]string{"check", "../../deploy/sentry.hcl", bad}, "no block deployment, expected one", "1 of 2 files have faults"},
+		{[]string{"check", filepath.Join(dir, "none.hcl")}, "no such file", "1 of 1 files"},
+		{[]string{"sentry"}, "", `required flag(s) "config" not set`},
+		{[]string{"sentry", "--config", bad}, "", "bad.hcl:1:1: no block"},
+		{[]string{"sentry", "--config", "../../deploy/sentry.hcl", "--level", "loud"}, "", `level: found "loud"`},
+		{[]string{"drill", "../../drills/breach.hcl", "--break", "bone"}, "", `break: found "bone", expected one of [answer`},
+		{[]string{"drill", bad}, "", "no block drill"},
+		{[]string{"drill", "../../drills/breach.hcl", "--from-day", bad}, "", "found no day"},
+	}
+	for _, c := range cases {
+		cmd := root()
+		var out bytes.Buffer
+		cmd.SetOut(&out)
+		cmd.SetErr(&out)
+		cmd.SetArgs(c.args)
+		err := cmd.Execute()
+		if (err == nil) != (c.err == "") || err != nil && !strings.Contains(err.Error(), c.err) || !strings.Contains(out.String(), c.out) {
+			t.Errorf("%v: error %v, expected %q; printed %q, expected %q in it", c.args, err, c.err, out.String(), c.out)
+		}
+	}
+}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -159,9 +159,15 @@
 	a.gather()
 	for _, name := range a.names {
 		t := a.tries[name]
-		if t.asked == nil {
+		switch {
+		case t.asked == nil && len(t.handOffs) > 0:
 			a.breach(1, t.handOffs[0].At, t, "a hand-off of a transaction that no client asked for")
 			continue
+		case t.asked == nil && len(t.answers) > 0:
+			a.breach(1, t.answers[0].At, t, "an answer that no client asked for")
+			continue
+		case t.asked == nil:
+			continue
 		}
 		a.answer(t)
 		a.effect(t)
@@ -277,6 +283,8 @@
 		name = t.asked.Try
 	} else if len(t.handOffs) > 0 {
 		name = t.handOffs[0].Try
+	} else if len(t.answers) > 0 {
+		name = t.answers[0].Try
 	}
 	for i := range a.events {
 		e := &a.events[i]
--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,192 @@
+package audit
+
+import (
+	"slices"
+	"testing"
+
+	"scalechute/logic"
+)
+
+const ms = logic.Micros(1000)
+
+func rules() *logic.StandingOrders {
+	return &logic.StandingOrders{
+		Sentries: 2, AnswerGrace: 20 * ms, DrainGrace: 500 * ms, ConnectLimit: 50 * ms, FallMultiple: 4, FallSpan: 1000 * ms,
+		StageCaps: []float64{0.5, 1}, FreeExposure: 1, ExposureWindow: 1000 * ms, ForwardOnly: true, GuardedStages: 0,
+		Profiles: []logic.Profile{{Repeat: logic.Redoable}, {Repeat: logic.Labelled, Window: 300 * ms},
+			{Repeat: logic.Irreversible}, {Repeat: logic.Labelled, Scope: logic.ScopeZone, Window: 300 * ms}},
+	}
+}
+
+// day is a good day to which a case adds what it is about.
+type day struct{ events []Event }
+
+func (d *day) add(at logic.Micros, e Event) *day {
+	e.At = at * ms
+	d.events = append(d.events, e)
+	return d
+}
+
+func newDay() *day {
+	d := &day{}
+	d.add(0, Event{Kind: SentryUp}).add(0, Event{Kind: SentryUp, Sentry: 1})
+	for s := range logic.SentryID(2) {
+		d.add(1, Event{Kind: NewsTold, Sentry: s, News: logic.News{Valid: true, Build: 10, Phase: logic.Released, Cap: 1}})
+	}
+	return d
+}
+
+func (d *day) ask(at logic.Micros, try string, p logic.ProfileID) *day {
+	return d.add(at, Event{Kind: Asked, Try: try, Profile: p, Span: 400 * ms})
+}
+
+var handOffs uint64
+
+func (d *day) got(at logic.Micros, try string, p logic.ProfileID, worker string) *day {
+	handOffs++
+	return d.add(at, Event{Kind: Got, Try: try, Profile: p, Worker: logic.WorkerID(worker), HandOff: handOffs, Span: 400 * ms, Build: 10})
+}
+
+// ends the last hand-off.
+func (d *day) ends(at logic.Micros, k Kind) *day {
+	for _, e := range slices.Backward(d.events) {
+		if e.Kind == Got {
+			return d.add(at, Event{Kind: k, Try: e.Try, Worker: e.Worker, HandOff: e.HandOff, Build: e.Build, Good: k == Ended})
+		}
+	}
+	return d
+}
+
+func (d *day) answer(at logic.Micros, try string, o Outcome) *day {
+	return d.add(at, Event{Kind: Answered, Try: try, Outcome: o})
+}
+
+func (d *day) served(at logic.Micros, try string, p logic.ProfileID) *day {
+	return d.ask(at, try, p).got(at+1, try, p, "w").ends(at+10, Ended).answer(at+11, try, Satisfied)
+}
+
+func (d *day) news(at logic.Micros, n logic.News) *day {
+	n.Valid = true
+	return d.add(at, Event{Kind: NewsTold, News: n})
+}
+
+// Each case breaks the one rule named, or none; what lies just within a rule's figures is no breach.
+func TestRules(t *testing.T) {
+	trial := logic.News{Build: 11, Phase: logic.OnTrial, Cap: 0.5}
+	onTrial := func(at logic.Micros, d *day, try string, key logic.Key) *day {
+		d.ask(at, try, 0).got(at+1, try, 0, "t")
+		d.events[len(d.events)-1].Build, d.events[len(d.events)-1].Key = 11, key
+		return d.ends(at+10, Ended).answer(at+11, try, Satisfied)
+	}
+	cases := []struct {
+		name string
+		rule int
+		day  *day
+	}{
+		{"a good day", 0, newDay().served(100, "a", 0).served(200, "b", 2)},
+		{"an answer to nothing", 1, newDay().answer(100, "a", Satisfied)},
+		{"a hand-off of nothing", 1, newDay().got(100, "a", 0, "w")},
+		{"left without an answer", 1, newDay().ask(100, "a", 0).add(2000, Event{Kind: Left, Try: "a"})},
+		{"no answer at all", 1, newDay().ask(100, "a", 0)},
+		{"no answer from a killed sentry", 0, newDay().ask(100, "a", 0).add(300, Event{Kind: SentryDown})},
+		{"no answer, killed only afterwards", 1, newDay().ask(100, "a", 0).add(600, Event{Kind: SentryDown})},
+		{"two answers", 1, newDay().served(100, "a", 0).answer(120, "a", Satisfied)},
+		{"late by a millisecond", 1, newDay().ask(100, "a", 0).answer(100+400+20+10+1, "a", WrittenOff)},
+		{"not late", 0, newDay().ask(100, "a", 0).answer(100+400+20+10, "a", WrittenOff)},
+		{"late, the sentry's process stopped", 0, newDay().ask(100, "a", 0).add(200, Event{Kind: Stopped}).
+			add(900, Event{Kind: Resumed}).answer(905, "a", WrittenOff)},
+		{"late, another's process stopped", 1, newDay().ask(100, "a", 0).add(200, Event{Kind: Stopped, Sentry: 1}).
+			add(900, Event{Kind: Resumed, Sentry: 1}).answer(905, "a", WrittenOff)},
+		{"left in time", 0, newDay().ask(100, "a", 0).add(300, Event{Kind: Left, Try: "a"})},
+		{"handed off after its answer", 1, newDay().served(100, "a", 0).got(130, "a", 0, "w2").ends(131, Turned)},
+		{"not taken", 0, newDay().ask(100, "a", 0).add(101, Event{Kind: NotTaken, Try: "a"})},
+		{"not taken, and handed off", 1, newDay().ask(100, "a", 0).got(100, "a", 0, "w").add(101, Event{Kind: NotTaken, Try: "a"})},
+
+		{"irreversible again after an error", 2, newDay().ask(100, "a", 2).got(101, "a", 2, "w").ends(110, Ended).
+			got(111, "a", 2, "w2").ends(120, Ended).answer(121, "a", Satisfied)},
+		{"irreversible again after it was turned away", 0, newDay().ask(100, "a", 2).got(101, "a", 2, "w").ends(110, Turned).
+			got(111, "a", 2, "w2").ends(120, Ended).answer(121, "a", Satisfied)},
+		{"irreversible deferred though it may have run", 2, newDay().ask(100, "a", 2).got(101, "a", 2, "w").ends(110, Ended).
+			answer(111, "a", Deferred)},
+		{"irreversible written off", 0, newDay().ask(100, "a", 2).got(101, "a", 2, "w").ends(110, Ended).answer(111, "a", WrittenOff)},
+		{"irreversible deferred, turned away", 0, newDay().ask(100, "a", 2).got(101, "a", 2, "w").ends(110, Turned).
+			answer(111, "a", Deferred)},
+		{"labelled within its window", 0, newDay().ask(100, "a", 1).got(101, "a", 1, "w").ends(110, Ended).
+			got(101+300+10, "a", 1, "w2").answer(420, "a", Satisfied)},
+		{"labelled past its window", 2, newDay().ask(100, "a", 1).got(101, "a", 1, "w").ends(110, Ended).
+			got(101+300+11, "a", 1, "w2").answer(420, "a", Satisfied)},
+		{"labelled, deferred", 0, newDay().ask(100, "a", 1).got(101, "a", 1, "w").ends(110, Ended).answer(111, "a", Deferred)},
+		{"labelled by zone, deferred", 2, newDay().ask(100, "a", 3).got(101, "a", 3, "w").ends(110, Ended).answer(111, "a", Deferred)},
+		{"two at once, no copies allowed", 2, newDay().ask(100, "a", 0).got(101, "a", 0, "w").got(110, "a", 0, "w2").
+			ends(120, Ended).answer(121, "a", Satisfied)},
+
+		{"drained, within the grace", 0, newDay().add(100, Event{Kind: ListTold, Worker: "w", State: logic.Draining}).served(600, "a", 0)},
+		{"drained, past the grace", 3, newDay().add(100, Event{Kind: ListTold, Worker: "w", State: logic.Draining}).served(700, "a", 0)},
+		{"gone, past the grace", 3, newDay().add(100, Event{Kind: ListTold, Worker: "w", State: logic.Gone}).served(700, "a", 0)},
+		{"drained and ready again", 0, newDay().add(100, Event{Kind: ListTold, Worker: "w", State: logic.Draining}).
+			add(400, Event{Kind: ListTold, Worker: "w"}).served(700, "a", 0)},
+		{"another sentry was told", 0, newDay().add(100, Event{Kind: ListTold, Worker: "w", Sentry: 1, State: logic.Gone}).served(700, "a", 0)},
+		{"told to an earlier run of the sentry", 0, newDay().add(100, Event{Kind: ListTold, Worker: "w", State: logic.Gone}).
+			add(200, Event{Kind: SentryDown}).add(300, Event{Kind: SentryUp}).served(700, "a", 0)},
+
+		{"a cold worker pushed over", 4, pushed(1000, 0)},
+		{"a cold worker within its bound", 0, pushed(990, 0)},
+		{"a cold worker pushed over by one that was not told", 0, pushed(1000, 1)},
+
+		{"exposure within free and cap", 0, onTrial(400, onTrial(300, newDay().news(200, trial), "a", ""), "b", "")},
+		{"exposure over free and cap", 5, onTrial(360, onTrial(340, onTrial(320, newDay().news(200, trial), "a", ""), "b", ""), "c", "")},
+		{"exposure over two windows", 0, onTrial(2300, onTrial(1200, onTrial(300, newDay().news(200, trial), "a", ""), "b", ""), "c", "")},
+		{"exposure at a cap that fell, within the grace", 0, onTrial(700, newDay().news(200, trial).
+			news(300, logic.News{Build: 11, Phase: logic.GoingBack}), "a", "")},
+		{"exposure at cap 0", 5, onTrial(900, newDay().news(200, trial).news(300, logic.News{Build: 11, Phase: logic.GoingBack}), "a", "")},
+		{"a build of which nothing was told", 5, onTrial(340, onTrial(320, onTrial(300, newDay(), "a", ""), "b", ""), "c", "")},
+		{"released", 0, onTrial(1440, onTrial(1420, onTrial(1400, newDay().news(200, trial).
+			news(300, logic.News{Build: 11, Phase: logic.Released, Cap: 1}), "a", ""), "b", ""), "c", "")},
+		{"a key that goes back", 5, keyed(onTrial(1000, newDay().news(200, trial), "a", "k"), 1100, "k")},
+		{"another key", 0, keyed(onTrial(1000, newDay().news(200, trial), "a", "k"), 1100, "k2")},
+		{"a key that goes back with its build", 0, keyed(onTrial(1000, newDay().news(200, trial), "a", "k").
+			news(1010, logic.News{Build: 11, Phase: logic.GoingBack}), 1100, "k")},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := Check(rules(), 10*ms, c.day.events)
+			got := f.Rules()
+			if c.rule == 0 && len(got) > 0 || c.rule > 0 && !slices.Equal(got, []int{c.rule}) {
+				t.Errorf("rules %v broken, expected %d\n%v", got, c.rule, f.Breaches)
+			}
+			for _, b := range f.Breaches {
+				if len(b.Timeline) == 0 {
+					t.Errorf("no timeline: %v", b)
+				}
+			}
+			// The order in which events are given does not matter.
+			turned := slices.Clone(c.day.events)
+			slices.SortStableFunc(turned, func(a, b Event) int { return int(b.Kind) - int(a.Kind) })
+			if again := Check(rules(), 10*ms, turned); !slices.Equal(again.Rules(), got) {
+				t.Errorf("in another order: %v", again.Rules())
+			}
+		})
+	}
+}
+
+// keyed serves a key at the earlier build.
+func keyed(d *day, at logic.Micros, k logic.Key) *day {
+	d.ask(at, "back", 0).got(at+1, "back", 0, "w")
+	d.events[len(d.events)-1].Key = k
+	return d.ends(at+10, Ended).answer(at+11, "back", Satisfied)
+}
+
+// pushed sends a worker that starts at half of one core's work 2.02 times the stated multiple of it, in pieces.
+func pushed(piece logic.Micros, by logic.SentryID) *day {
+	d := newDay()
+	d.add(100, Event{Kind: WorkerUp, Worker: "c", Speed: 1, From: 0.5, Warm: 1_000_000 * ms})
+	d.add(110, Event{Kind: ListTold, Worker: "c", Sentry: 0})
+	for i := range logic.Micros(202) {
+		try := "p" + string(rune('0'+i%10)) + string(rune('a'+i/10))
+		d.add(200+i, Event{Kind: Asked, Try: try, Span: 400 * ms, Sentry: by})
+		handOffs++
+		d.add(201+i, Event{Kind: Got, Try: try, Worker: "c", HandOff: handOffs, Work: 10 * piece, Build: 10, Sentry: by, Span: 400 * ms})
+		d.ends(210+i, Turned).answer(211+i, try, Deferred)
+	}
+	return d
+}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -64,7 +64,10 @@
 	s := Shared(f.Root)
 	s.post(f.Root.Block("sentry", true))
 	f.Root.Done()
-	return s, f.Err()
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 // SharedBlocks names the blocks that all sentries of a deployment have in common.
--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,100 @@
+package orders
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"scalechute/logic"
+)
+
+func example(t *testing.T) string {
+	t.Helper()
+	data, err := os.ReadFile("../../deploy/sentry.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func TestTheExample(t *testing.T) {
+	s, err := Parse("sentry.hcl", []byte(example(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := s.Standing
+	if o.Sentries != 2 || o.DrainGrace != 2_000_000 || o.FallMultiple != 4 || !o.ForwardOnly || len(o.StageCaps) != 3 ||
+		o.Profiles[1].Repeat != logic.Labelled || o.Profiles[1].Window != 1_500_000 || o.Profiles[2].Repeat != logic.Irreversible ||
+		s.Post.Peers[1] != "127.0.0.1:7401" || o.ConnectLimit != 250_000 || o.AskWithin != 10_000_000 || !o.MayMessage || o.MayCopy {
+		t.Errorf("read as %+v", s)
+	}
+}
+
+// Each fault is told with file, line, what was found and what was expected; the file's other faults are told too.
+func TestFaults(t *testing.T) {
+	cases := []struct{ old, new, want string }{
+		{`due_time    = "750ms"`, `due_time = "750"`, `due_time: found "750", expected a span from 1ms to 1h0m0s in whole microseconds`},
+		{`due_time    = "750ms"`, `due_time = 750`, `due_time: found 750, expected a span`},
+		{`due_time    = "750ms"`, `due_time = "1ns"`, `due_time: found "1ns", expected a span`},
+		{`due_time    = "750ms"`, ``, `block profile reading has no due_time, expected a span`},
+		{`outer_limit = "1s"`, `outer_limit = "300ms"`, `outer_limit: found less than due_time`},
+		{`repeat      = "irreversible"`, `repeat = "never"`, `repeat: found "never", expected one of redoable, labelled, irreversible`},
+		{`repeat      = "irreversible"`, "repeat = \"irreversible\"\n window = \"1s\"", `profile handover has a scope or window`},
+		{`window      = "1500ms"`, ``, `block profile excursion has no window`},
+		{`profile "handover"`, `profile "reading"`, `profile reading stands twice`},
+		{`profile "handover" {`, `profile {`, `block profile has 0 labels, expected 1`},
+		{`hand_offs     = 3`, `hand_offs = 0`, `hand_offs: found 0, expected a whole number from 1 to 100`},
+		{`hand_offs     = 3`, `hand_offs = 2.5`, `hand_offs: found 2.5, expected a whole number`},
+		{`hand_offs     = 3`, `hand_of = 3`, `hand_of: unknown in block allowed, expected one of cancel, connect_limit`},
+		{`messages      = true`, `messages = "yes"`, `messages: found "yes", expected true or false`},
+		{`fall_multiple = 4`, `fall_multiple = 0.5`, `fall_multiple: found 0.5, expected a number from 1 to 1000`},
+		{`fall_multiple = 4`, `fall_multiple = 1/0`, `fall_multiple: found +Inf, expected a number from 1 to 1000`},
+		{`stage_caps   = [0.2, 0.6, 1]`, `stage_caps = [0.2, 0.1, 1]`, `stage_caps: found 0.1 after 0.2, expected none to fall`},
+		{`stage_caps   = [0.2, 0.6, 1]`, `stage_caps = [0.2, 1]`, `stage_caps: found 2, expected as many as stage_shares (3)`},
+		{`stage_caps   = [0.2, 0.6, 1]`, `stage_caps = 0.2`, `stage_caps: found 0.2, expected a list of numbers`},
+		{`stage_caps   = [0.2, 0.6, 1]`, `stage_caps = [0.2, 0.6, 1.1]`, `stage_caps: found 1.1, expected a list of numbers from 0 to 1`},
+		{`back_votes   = 1`, `back_votes = 3`, `more votes wanted than there are sentries (2)`},
+		{`zones    = ["harbour", "hill"]`, `zones = ["harbour", "harbour"]`, `zones: found "harbour" twice`},
+		{`zone     = "harbour"`, `zone = "moon"`, `zone: found "moon", expected one of harbour, hill`},
+		{`position = 0`, `position = 2`, `position: found 2, expected a whole number from 0 to 1`},
+		{`peer "1"`, `peer "0"`, `peer "0", expected the position of another sentry`},
+		{`list     = "127.0.0.1:7420"`, `list = "127.0.0.1"`, `list: found "127.0.0.1", expected host:port`},
+		{`rules {`, `rule {`, `block rule: unknown in the file`},
+		{`trial {`, "trial {}\ntrial {", `block trial stands twice`},
+		{`control      = "any"`, `control = any`, `control: found no plain value`},
+		{`sentry {`, `sentry`, `Argument or block definition required`},
+	}
+	for _, c := range cases {
+		text := example(t)
+		if !strings.Contains(text, c.old) {
+			t.Fatalf("%q is not in the example", c.old)
+		}
+		text = strings.Replace(text, c.old, c.new, 1)
+		s, err := Parse("bad.hcl", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, expected %s (read: %v)", c.new, err, c.want, s != nil)
+			continue
+		}
+		for _, l := range strings.Split(err.Error(), "\n") {
+			if !strings.HasPrefix(l, "bad.hcl:") {
+				t.Errorf("%s: a fault without its place: %q", c.new, l)
+			}
+		}
+	}
+	two := strings.NewReplacer(`hand_offs     = 3`, `hand_offs = 0`, `fall_multiple = 4`, `fall_multiple = 0`).Replace(example(t))
+	if _, err := Parse("bad.hcl", []byte(two)); err == nil || strings.Count(err.Error(), "\n") != 1 {
+		t.Errorf("two faults are told as %v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	data, _ := os.ReadFile("../../deploy/sentry.hcl")
+	f.Add(data)
+	f.Add([]byte("profile \"a\" \"b\" { due_time = [null] }\nsentry { peer \"x\" {} }"))
+	f.Fuzz(func(t *testing.T, source []byte) {
+		s, err := Parse("f.hcl", source)
+		if err == nil && (len(s.Standing.Profiles) == 0 || int(s.Standing.Position) >= s.Standing.Sentries) {
+			t.Errorf("taken: %+v", s)
+		}
+	})
+}
