--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -30,12 +31,12 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(sentryCommand(), checkCommand(), drillCommand())
+	c.AddCommand(sentryCommand(), checkCommand(), drillCommand(), measureCommand())
 	return c
 }
 
 func sentryCommand() *cobra.Command {
-	var config, level, breach string
+	var config, level, breach, profile string
 	var random bool
 	c := &cobra.Command{
 		Use:   "sentry --config FILE",
@@ -60,6 +61,17 @@
 			if broken != sentry.NoBreach {
 				log.Warn().Str("rule", breach).Msg("this sentry breaks a rule on purpose")
 			}
+			if profile != "" {
+				f, err := os.Create(profile)
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				if err := pprof.StartCPUProfile(f); err != nil {
+					return err
+				}
+				defer pprof.StopCPUProfile()
+			}
 			signals := make(chan os.Signal, 1)
 			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 			opts := sentry.Options{Log: log, Break: broken}
@@ -83,6 +95,7 @@
 	c.Flags().StringVar(&config, "config", "", "the sentry's orders (HCL)")
 	c.Flags().StringVar(&level, "level", "info", "least level of what is logged")
 	c.Flags().StringVar(&breach, "break", "", "break a rule on purpose: answer, effect, drain, cold or exposure")
+	c.Flags().StringVar(&profile, "profile", "", "write a processor profile to this file until the end")
 	_ = c.MarkFlagRequired("config")
 	c.Flags().BoolVar(&random, "random", false, "choose workers at random, as a baseline for drills")
 	_ = c.Flags().MarkHidden("break")
--- /dev/null
+++ b/cmd/scalechute/measure.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"scalechute/internal/measure"
+)
+
+// measureCommand compares a sentry with a bare relay. docs/sentry.md has the figures and says how they were taken.
+func measureCommand() *cobra.Command {
+	c := &cobra.Command{Use: "measure", Short: "Measure a sentry beside a bare relay on this machine"}
+	plan := measure.Plan{Workers: 32}
+	prepare := func() (func(), error) {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		plan.Program = program(self)
+		plan.Dir, err = os.MkdirTemp("", "measure-")
+		return func() { os.RemoveAll(plan.Dir) }, err
+	}
+	rounds := 3
+	relay := &cobra.Command{
+		Use: "relay", Short: "Throughput, allocations and added latency, beside the relay, turn about", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			clean, err := prepare()
+			if err != nil {
+				return err
+			}
+			defer clean()
+			w := c.OutOrStdout()
+			plan.Clients, plan.Window = 16, 4
+			ratio, most := 0.0, 0.0
+			for range rounds {
+				plan.Rate = 0
+				r, err := measure.Relay(plan)
+				if err != nil {
+					return err
+				}
+				s, err := measure.Sentry(plan)
+				if err != nil {
+					return err
+				}
+				plan.Profile = ""
+				measure.Print(w, r, s)
+				ratio, most = ratio+s.PerSecond/r.PerSecond/float64(rounds), max(most, s.PerSecond)
+			}
+			fmt.Fprintf(w, "sentry to relay, as many as possible: %.2f\n", ratio)
+			for range rounds {
+				plan.Rate = most / 2
+				r, err := measure.Relay(plan)
+				if err != nil {
+					return err
+				}
+				s, err := measure.Sentry(plan)
+				if err != nil {
+					return err
+				}
+				measure.Print(w, r, s)
+				fmt.Fprintf(w, "added at half load: p50 %v, p99 %v\n", s.P50-r.P50, s.P99-r.P99)
+			}
+			return nil
+		},
+	}
+	relay.Flags().IntVar(&rounds, "rounds", 3, "how often each is measured")
+	relay.Flags().StringVar(&plan.Profile, "profile", "", "file for a processor profile of the first sentry")
+	crowd := &cobra.Command{
+		Use: "crowd", Short: "One sentry with many client connections", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			clean, err := prepare()
+			if err != nil {
+				return err
+			}
+			defer clean()
+			s, err := measure.Sentry(plan)
+			if err != nil {
+				return err
+			}
+			measure.Print(c.OutOrStdout(), s)
+			return nil
+		},
+	}
+	crowd.Flags().IntVar(&plan.Clients, "clients", 10_000, "client connections")
+	crowd.Flags().Float64Var(&plan.Rate, "rate", 2_000, "transactions a second")
+	c.PersistentFlags().DurationVar(&plan.For, "for", 4*time.Second, "length of each measurement")
+	c.PersistentFlags().IntVar(&plan.Procs, "procs", 2, "GOMAXPROCS of what is measured")
+	var listen, metrics string
+	var workers []string
+	bare := &cobra.Command{
+		Use: "bare", Short: "The bare relay itself", Hidden: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return measure.Bare(listen, metrics, workers) },
+	}
+	bare.Flags().StringVar(&listen, "listen", "", "address")
+	bare.Flags().StringVar(&metrics, "metrics", "", "address")
+	bare.Flags().StringArrayVar(&workers, "worker", nil, "address of a worker")
+	c.AddCommand(relay, crowd, bare)
+	return c
+}
--- a/internal/sentry/metrics.go
+++ b/internal/sentry/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"scalechute/internal/wire/pb"
@@ -83,7 +84,7 @@
 		_, n := s.inbox.load()
 		return float64(n)
 	})
-	m.registry.MustRegister(times{m})
+	m.registry.MustRegister(times{m}, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -164,6 +164,20 @@
 	return true
 }
 
+// PutFrame is Put for a message that is encoded already.
+func (l *Link) PutFrame(kind Kind, body []byte) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead || len(l.pending) > l.most {
+		return false
+	}
+	var at int
+	l.pending, at = begin(l.pending, kind)
+	l.pending = append(l.pending, body...)
+	finish(l.pending, at)
+	return true
+}
+
 // PutRaw adds bytes that are frames already, or are meant to be none.
 func (l *Link) PutRaw(b []byte) bool {
 	l.mu.Lock()
