--- a/internal/sentry/inbox.go
+++ b/internal/sentry/inbox.go
@@ -59,6 +59,7 @@
 	key     logic.Key
 	mark    []byte
 	payload []byte
+	buffer  *[]byte // that mark and payload lie in
 	client  *client
 	conn    *conn
 	worker  *worker
@@ -70,6 +71,17 @@
 	call    func()
 }
 
+// buffers hold what came in frames until the loop is done with it. A large one is not kept.
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
+func borrow() *[]byte { return buffers.Get().(*[]byte) }
+
+func giveBack(b *[]byte) {
+	if b != nil && cap(*b) <= 64<<10 {
+		buffers.Put(b)
+	}
+}
+
 // inbox holds what waits for the loop, in the order taken. What clients and peers send waits for room; what ends
 // or answers something does not, since its number is bounded by what is open.
 type inbox struct {
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -91,15 +91,18 @@
 	sends   []handOff
 	out     int
 	closed  bool
+	timer   int // its place among the timers and one, 0 if it has none
+	buffer  *[]byte
 }
 
 type handOff struct {
-	worker *worker
-	conn   *conn // nil while it waits for a connection
-	id     uint64
-	sent   logic.Micros
-	until  logic.Micros
-	over   bool
+	worker  *worker
+	conn    *conn // nil while it waits for a connection
+	id      uint64
+	sent    logic.Micros
+	until   logic.Micros
+	connect logic.Micros // without a connection by then, it is given up
+	over    bool
 }
 
 // client is a connection of a client or of a peer.
@@ -216,6 +219,7 @@
 			s.fire(batch[i].at, batch[i].at)
 			s.now = max(s.now, batch[i].at)
 			s.event(&batch[i])
+			giveBack(batch[i].buffer)
 			batch[i] = event{}
 		}
 		now := s.clock.now()
@@ -264,32 +268,13 @@
 
 func (s *Sentry) timer(t *timer) {
 	switch t.kind {
-	case timeUntil, timeConnect:
-		if t.t.gen != t.gen || t.t.sends[t.n].over {
-			return
-		}
-		h := &t.t.sends[t.n]
-		switch {
-		case h.conn != nil && t.kind == timeUntil:
-			s.handOffEnds(t.t, t.n, logic.TimedOut, -1)
-		case h.conn == nil && t.kind == timeUntil: // nothing of it was written
-			s.handOffEnds(t.t, t.n, logic.Unsent, -1)
-		case h.conn == nil:
-			s.handOffEnds(t.t, t.n, logic.Unconnected, -1)
-		}
+	case timeTransaction:
+		s.transactionDue(t.t, t.due)
 	case timeWelcome:
 		if !t.conn.welcome && !t.conn.lost {
 			t.conn.link.Close(wire.ErrClosed)
 			s.connLost(t.conn)
 		}
-	case timeOverdue:
-		if t.t.gen == t.gen && !t.t.closed {
-			s.metrics.overdue.Inc()
-			s.log.Error().Str("transaction", string(t.t.id)).Msg("no final answer in time, written off")
-			s.answer(t.t, pb.Outcome_WRITTEN_OFF, 0, nil, nil)
-			s.tell(input.Input{Kind: input.ClientLeft, ID: t.t.id})
-			s.drop(t.t)
-		}
 	case timeVote:
 		if s.votes[t.id] {
 			delete(s.votes, t.id)
@@ -309,6 +294,57 @@
 	}
 }
 
+// due is when something of a transaction is due next, 0 if nothing is.
+func (t *transaction) due(grace logic.Micros) (due logic.Micros) {
+	if !t.closed {
+		due = t.limit + grace
+	}
+	for i := range t.sends {
+		h := &t.sends[i]
+		at := h.until
+		if h.conn == nil {
+			at = min(at, h.connect)
+		}
+		if !h.over && (due == 0 || at < due) {
+			due = at
+		}
+	}
+	return due
+}
+
+// alarm sets a transaction's timer for what is due next.
+func (s *Sentry) alarm(t *transaction) { s.timers.set(t, t.due(s.orders.AnswerGrace)) }
+
+// transactionDue ends the hand-offs whose time is up, and sees to it that no final answer is overdue.
+func (s *Sentry) transactionDue(t *transaction, due logic.Micros) {
+	gen := t.gen
+	for n := 0; t.gen == gen && n < len(t.sends); n++ {
+		h := &t.sends[n]
+		switch {
+		case h.over:
+		case h.conn != nil && h.until <= due:
+			s.handOffEnds(t, n, logic.TimedOut, -1)
+		case h.conn == nil && h.until <= due: // nothing of it was written
+			s.handOffEnds(t, n, logic.Unsent, -1)
+		case h.conn == nil && h.connect <= due:
+			s.handOffEnds(t, n, logic.Unconnected, -1)
+		}
+	}
+	if t.gen != gen {
+		return
+	}
+	if !t.closed && t.limit+s.orders.AnswerGrace <= due {
+		s.metrics.overdue.Inc()
+		s.log.Error().Str("transaction", string(t.id)).Msg("no final answer in time, written off")
+		s.answer(t, pb.Outcome_WRITTEN_OFF, 0, nil, nil)
+		s.tell(input.Input{Kind: input.ClientLeft, ID: t.id})
+		s.drop(t)
+	}
+	if t.gen == gen {
+		s.alarm(t)
+	}
+}
+
 func (s *Sentry) event(e *event) {
 	switch e.kind {
 	case evAsk:
@@ -452,8 +488,10 @@
 		}
 		e := event{kind: evAsk, client: c, id: m.ID, profile: m.Profile, account: m.Account, left: m.Left,
 			hint: m.Hint, again: m.Again, key: logic.Key(m.Key)}
-		if n := len(m.Mark) + len(m.Payload); n > 0 {
-			both := append(append(make([]byte, 0, n), m.Mark...), m.Payload...)
+		if len(m.Mark)+len(m.Payload) > 0 {
+			e.buffer = borrow()
+			both := append(append((*e.buffer)[:0], m.Mark...), m.Payload...)
+			*e.buffer = both
 			e.mark, e.payload = both[:len(m.Mark):len(m.Mark)], both[len(m.Mark):]
 		}
 		s.inbox.put(&e, true)
@@ -543,13 +581,14 @@
 	}
 	t := s.newTransaction()
 	t.client, t.asked, t.profile, t.key, t.mark, t.payload = c, e.id, e.profile, e.key, e.mark, e.payload
-	t.hint, t.came = e.hint, e.at
+	t.hint, t.came, t.buffer = e.hint, e.at, e.buffer
+	e.buffer = nil
 	t.limit = e.at + min(logic.Micros(min(e.left, 1<<40)), s.orders.Profiles[e.profile].OuterLimit)
 	c.open[e.id] = t
 	s.open[t.id] = t
 	s.unclosed++
 	s.metrics.taken[e.profile].Inc()
-	s.timers.add(timer{due: t.limit + s.orders.AnswerGrace, kind: timeOverdue, t: t, gen: t.gen})
+	s.alarm(t)
 	s.tell(input.Input{Kind: input.TransactionCame, Transaction: logic.Transaction{
 		ID: t.id, Profile: logic.ProfileID(e.profile), Account: logic.AccountID(e.account) - 1, Key: e.key,
 		Limit: t.limit, Hint: logic.Micros(e.hint), Again: e.again}})
@@ -581,6 +620,7 @@
 	*a = wire.Answer{ID: t.asked, Outcome: uint32(o), ComeBack: uint64(comeBack), Payload: payload, Worker: worker}
 	s.put(t.client.link, wire.KindAnswer, a)
 	s.breachAnswer(t, a)
+	s.alarm(t)
 }
 
 func (s *Sentry) clientLeft(t *transaction) {
@@ -601,6 +641,8 @@
 		return
 	}
 	delete(s.open, t.id)
+	s.timers.set(t, 0)
+	giveBack(t.buffer)
 	sends, gen := t.sends[:0], t.gen+1
 	clear(t.sends)
 	*t = transaction{gen: gen, sends: sends}
--- a/internal/sentry/timers.go
+++ b/internal/sentry/timers.go
@@ -5,24 +5,21 @@
 type timerKind uint8
 
 const (
-	timeUntil   timerKind = iota // a hand-off's time is up
-	timeConnect                  // a hand-off still waits for a connection
-	timeWelcome                  // a worker has not welcomed a connection
-	timeOverdue                  // the final answer should have left by now
-	timeVote                     // a vote has had no answer
-	timeList                     // the list's service has not answered
+	timeTransaction timerKind = iota // something of a transaction is due: see transaction.due
+	timeWelcome                      // a worker has not welcomed a connection
+	timeVote                         // a vote has had no answer
+	timeList                         // the list's service has not answered
 	timeRedial
 	timeIdle
 	timeSave
 )
 
-// timer is due at a time. One whose cause has gone stays until it is due and then does nothing.
+// timer is due at a time. A transaction has one, which moves with what is due next and goes with the transaction, so
+// that the heap is as small as what is open; of the others, one whose cause has gone does nothing when it is due.
 type timer struct {
 	due  logic.Micros
 	seq  uint64 // order among those due together
 	kind timerKind
-	n    int
-	gen  uint32
 	t    *transaction
 	up   *upstream
 	conn *conn
@@ -40,16 +37,46 @@
 func (h *timers) add(t timer) {
 	h.seq++
 	t.seq = h.seq
-	h.all = append(h.all, t)
-	i := len(h.all) - 1
+	h.all = append(h.all, timer{})
+	h.up(len(h.all)-1, t)
+}
+
+// put places a timer; a transaction knows its place, from 1 on.
+func (h *timers) put(i int, t timer) {
+	h.all[i] = t
+	if t.t != nil {
+		t.t.timer = i + 1
+	}
+}
+
+func (h *timers) up(i int, t timer) {
 	for i > 0 {
-		up := (i - 1) / 2
-		if !h.before(&h.all[i], &h.all[up]) {
+		above := (i - 1) / 2
+		if !h.before(&t, &h.all[above]) {
 			break
 		}
-		h.all[i], h.all[up] = h.all[up], h.all[i]
-		i = up
+		h.put(i, h.all[above])
+		i = above
 	}
+	h.put(i, t)
+}
+
+func (h *timers) down(i int, t timer) {
+	for {
+		least := 2*i + 1
+		if least >= len(h.all) {
+			break
+		}
+		if least+1 < len(h.all) && h.before(&h.all[least+1], &h.all[least]) {
+			least++
+		}
+		if !h.before(&h.all[least], &t) {
+			break
+		}
+		h.put(i, h.all[least])
+		i = least
+	}
+	h.put(i, t)
 }
 
 // due is when the first is due, 0 if there is none.
@@ -60,23 +87,40 @@
 	return h.all[0].due
 }
 
-func (h *timers) pop() timer {
-	first := h.all[0]
-	last := len(h.all) - 1
-	h.all[0] = h.all[last]
+func (h *timers) pop() timer { return h.remove(0) }
+
+func (h *timers) remove(i int) timer {
+	gone, last := h.all[i], len(h.all)-1
+	moved := h.all[last]
 	h.all[last] = timer{}
 	h.all = h.all[:last]
-	for i := 0; ; {
-		small := i
-		for c := 2*i + 1; c <= 2*i+2 && c < last; c++ {
-			if h.before(&h.all[c], &h.all[small]) {
-				small = c
-			}
-		}
-		if small == i {
-			return first
-		}
-		h.all[i], h.all[small] = h.all[small], h.all[i]
-		i = small
+	if gone.t != nil {
+		gone.t.timer = 0
+	}
+	if i < last {
+		h.move(i, moved)
+	}
+	return gone
+}
+
+// move puts a timer where it belongs, from a place that is free.
+func (h *timers) move(i int, t timer) {
+	if i > 0 && h.before(&t, &h.all[(i-1)/2]) {
+		h.up(i, t)
+	} else {
+		h.down(i, t)
+	}
+}
+
+// set moves a transaction's timer, makes it, or with 0 takes it away.
+func (h *timers) set(t *transaction, due logic.Micros) {
+	switch i := t.timer - 1; {
+	case i < 0 && due > 0:
+		h.add(timer{due: due, kind: timeTransaction, t: t})
+	case i >= 0 && due == 0:
+		h.remove(i)
+	case i >= 0 && h.all[i].due != due:
+		h.seq++
+		h.move(i, timer{due: due, seq: h.seq, kind: timeTransaction, t: t})
 	}
 }
--- a/internal/sentry/workers.go
+++ b/internal/sentry/workers.go
@@ -69,13 +69,12 @@
 		s.handOffEnds(t, n, logic.Unsent, -1)
 		return
 	}
-	s.timers.add(timer{due: h.until, kind: timeUntil, t: t, n: n, gen: t.gen})
-	if s.send(w, t, n) {
-		return
+	h.connect = s.now + s.orders.ConnectLimit
+	if !s.send(w, t, n) {
+		w.waiting = append(w.waiting, waiting{t, t.gen, n})
+		s.dial(w)
 	}
-	w.waiting = append(w.waiting, waiting{t, t.gen, n})
-	s.timers.add(timer{due: s.now + s.orders.ConnectLimit, kind: timeConnect, t: t, n: n, gen: t.gen})
-	s.dial(w)
+	s.alarm(t)
 }
 
 // send writes a hand-off to the first connection that has room.
@@ -99,6 +98,7 @@
 		c.free = c.free[:len(c.free)-1]
 		c.slots[at] = slot{id: id, t: t, gen: t.gen, n: n}
 		c.used, h.conn, h.id = s.now, c, id
+		s.alarm(t)
 		s.metrics.handOffs.Inc()
 		return true
 	}
@@ -212,6 +212,7 @@
 		return
 	}
 	h.over = true
+	s.alarm(t)
 	s.metrics.endings[ending].Inc()
 	w := h.worker
 	if h.conn != nil {
@@ -248,7 +249,9 @@
 		}
 		e := event{kind: evDone, conn: c, id: m.ID, ended: m.Ended, held: m.Held}
 		if len(m.Payload) > 0 {
-			e.payload = append([]byte(nil), m.Payload...)
+			e.buffer = borrow()
+			*e.buffer = append((*e.buffer)[:0], m.Payload...)
+			e.payload = *e.buffer
 		}
 		s.inbox.put(&e, false)
 		return nil
