--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -41,6 +41,7 @@
 	now      logic.Micros
 	todo     []input.Input
 	telling  bool
+	result   logic.Result // of the input in hand; kept here since on the stack it would escape each time
 	wakeAt   logic.Micros
 	timers   timers
 	open     map[logic.TransactionID]*transaction
@@ -405,18 +406,18 @@
 			t := s.open[in.End.Transaction]
 			in.End.Closed = t == nil || t.closed
 		}
-		result := s.decide(in)
+		s.result = s.decide(in)
 		if s.record != nil {
-			s.record(in, &result)
+			s.record(in, &s.result)
 		}
 		if in.Kind == input.HandOffEnded {
 			if t := s.open[in.End.Transaction]; t != nil {
 				t.out--
 			}
 		}
-		s.wakeAt = result.WakeAt
+		s.wakeAt = s.result.WakeAt
 		done := in.End.Transaction
-		s.carryOut(&result)
+		s.carryOut(&s.result)
 		if t := s.open[done]; t != nil && done != "" {
 			s.drop(t)
 		}
