--- a/drills/short-day.hcl
+++ b/drills/short-day.hcl
@@ -110,7 +110,7 @@
 
 allowed {
   hand_offs     = 3
-  copies        = true
+  copies        = false
   messages      = true
   connect_limit = "200ms"
   idle_close    = "10s"
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -282,14 +282,18 @@
 			s.tell(input.Input{Kind: input.NewsCame, News: logic.News{Fate: logic.VoteUnanswered}})
 		}
 	case timeList:
-		if s.listSeq == t.id && s.list.asked {
+		switch {
+		case s.listSeq != t.id || !s.list.asked:
+		case s.list.keep && s.list.link != nil:
+			s.list.link.Close(wire.ErrClosed) // and is opened again, to be followed anew
+		default:
 			s.listRefused("no answer")
 		}
 	case timeRedial:
 		t.up.waits = false
 		s.connect(t.up)
-	case timeIdle:
-		s.closeIdle()
+	case timeSweep:
+		s.sweep()
 	case timeSave:
 		s.save()
 	}
@@ -683,9 +687,7 @@
 	if s.list.keep {
 		s.askList(true)
 	}
-	if s.orders.IdleClose > 0 {
-		s.timers.add(timer{due: s.now + s.orders.IdleClose/4, kind: timeIdle})
-	}
+	s.sweepLater()
 }
 
 // end closes everything, after what was answered has been written.
--- a/internal/sentry/timers.go
+++ b/internal/sentry/timers.go
@@ -10,7 +10,7 @@
 	timeVote                         // a vote has had no answer
 	timeList                         // the list's service has not answered
 	timeRedial
-	timeIdle
+	timeSweep
 	timeSave
 )
 
--- a/internal/sentry/workers.go
+++ b/internal/sentry/workers.go
@@ -348,7 +348,34 @@
 			s.connLost(c)
 		}
 	}
-	s.timers.add(timer{due: s.now + max(s.orders.IdleClose/4, 1000), kind: timeIdle})
+}
+
+// sweep closes idle connections and forgets workers that have long been gone: with each build come new ones.
+func (s *Sentry) sweep() {
+	if s.orders.IdleClose > 0 {
+		s.closeIdle()
+	}
+	outer := logic.Micros(0)
+	for _, p := range s.orders.Profiles {
+		outer = max(outer, p.OuterLimit)
+	}
+	for id, w := range s.workers {
+		if w.line.State == logic.Gone && len(w.conns)+len(w.waiting)+w.dials == 0 && s.now-w.since > 2*outer {
+			delete(s.workers, id)
+			delete(s.book.lives, id)
+		}
+	}
+	s.sweepLater()
+}
+
+const sweepMost = logic.Micros(5_000_000)
+
+func (s *Sentry) sweepLater() {
+	wait := sweepMost
+	if s.orders.IdleClose > 0 {
+		wait = min(wait, max(s.orders.IdleClose/4, 1000))
+	}
+	s.timers.add(timer{due: s.now + wait, kind: timeSweep})
 }
 
 // sortedOpen lists what a client has open, in the order of its ids.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -39,6 +39,7 @@
 	started logic.Micros
 	busy    int
 	queue   []*job
+	running map[*job]struct{}
 	got     uint64
 	recent  []arrival
 }
@@ -92,7 +93,7 @@
 	}
 	w.server, w.Address, w.up, w.drain, w.fell = server, server.Address, true, false, false
 	w.life++
-	w.busy, w.queue, w.recent = 0, nil, nil
+	w.busy, w.queue, w.recent, w.running = 0, nil, nil, map[*job]struct{}{}
 	w.started = w.stage.Now()
 	if warm {
 		w.started -= w.Cold
@@ -202,6 +203,11 @@
 					w.stage.See(j.event(audit.Dropped))
 				}
 			}
+			for j := range w.running { // it runs on, but the sentry awaits it no longer
+				if j.link == l {
+					w.stage.See(j.event(audit.Dropped))
+				}
+			}
 		}
 }
 
@@ -279,6 +285,7 @@
 		slowed *= m.SlowBy
 	}
 	w.busy++
+	w.running[j] = struct{}{}
 	took := j.work * w.SlowBy * slowed / (w.Speed * m.Speed * w.warmth(now))
 	time.AfterFunc(span(logic.Micros(took)), func() { w.finish(j, m) })
 }
@@ -291,6 +298,7 @@
 		return
 	}
 	w.busy--
+	delete(w.running, j)
 	p := &w.stage.Orders.Profiles[j.p]
 	if p.Repeat != logic.Labelled || w.stage.firstRun(w.group(p), j.mark, p.Window) {
 		w.stage.See(j.event(audit.Ran))
