Drill: no lock is waited for on the poller; two locks taken in both orders are one

Need: one of many runs of the drills' tests hung: the fleet told the list under its lock, and the list asked the fleet under its own; dials under the clients' lock held the poller up for 100 ms. Change: how a zone reaches a worker needs no lock of the fleet; clients dial behind their back.

--- a/internal/drill/result.go
+++ b/internal/drill/result.go
@@ -65,9 +65,9 @@
 func (r *runner) result() (*Result, error) {
 	d, o := r.d, &r.d.Sheet.Standing
 	events := r.stage.Events()
-	r.mu.Lock()
+	r.linkMu.Lock()
 	hiccup := r.hiccup
-	r.mu.Unlock()
+	r.linkMu.Unlock()
 	out := &Result{Day: d.Name, Policy: "module", Seconds: seconds(d.Length), Broken: r.p.Break,
 		HiccupUs: hiccup.Microseconds(), SlackUs: d.Slack + logic.Micros(hiccup.Microseconds())}
 	if r.p.Random {
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -46,6 +47,7 @@
 	mu       sync.Mutex
 	sentries []*process
 	callers  []*standin.Callers // by zone
+	linkMu   sync.Mutex         // of relays and reach alone
 	relays   []*standin.Relay
 	reach    map[string]string
 	weather  [][]*standin.Weather // between zones, one way
@@ -130,9 +132,9 @@
 			if err != nil {
 				return err
 			}
-			r.mu.Lock()
+			r.linkMu.Lock()
 			r.relays = append(r.relays, relay)
-			r.mu.Unlock()
+			r.linkMu.Unlock()
 			peers[to.position] = relay.Address
 		}
 		memory := filepath.Join(r.p.Dir, fmt.Sprintf("sentry-%d.list", s.position))
@@ -160,30 +162,18 @@
 	return nil
 }
 
-// reached is how a zone reaches a worker: directly at home, else over the relay of that link.
-func (r *runner) reached(id logic.WorkerID, address, zone string) string {
-	from := 0
-	for i, name := range r.d.Sheet.Zones {
-		if name == zone {
-			from = i
-		}
-	}
-	to := from
-	r.fleet.mu.Lock()
-	for _, w := range r.fleet.all {
-		if w.Line.ID == id {
-			to = int(w.Line.Zone)
-		}
-	}
-	r.fleet.mu.Unlock()
-	if to == from {
+// reached is how a zone reaches a worker: directly at home, else over the relay of that link. It is called with the
+// list's lock held, on the poller: it takes no lock that is ever held for long, nor one under which the list is told.
+func (r *runner) reached(address, zone, from string) string {
+	at, to := slices.Index(r.d.Sheet.Zones, from), slices.Index(r.d.Sheet.Zones, zone)
+	if at == to || at < 0 || to < 0 {
 		return address
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	key := fmt.Sprintf("%d %s", from, address)
+	r.linkMu.Lock()
+	defer r.linkMu.Unlock()
+	key := from + " " + address
 	if r.reach[key] == "" {
-		relay, err := standin.NewRelay(address, r.weather[from][to], r.weather[to][from])
+		relay, err := standin.NewRelay(address, r.weather[at][to], r.weather[to][at])
 		if err != nil {
 			return address
 		}
@@ -252,9 +242,9 @@
 			return
 		case <-time.After(2 * time.Millisecond):
 		}
-		r.mu.Lock()
+		r.linkMu.Lock()
 		r.hiccup = max(r.hiccup, time.Since(at)-2*time.Millisecond)
-		r.mu.Unlock()
+		r.linkMu.Unlock()
 	}
 }
 
@@ -333,8 +323,8 @@
 	if r.fleet != nil {
 		r.fleet.stop()
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.linkMu.Lock()
+	defer r.linkMu.Unlock()
 	for _, x := range r.relays {
 		x.Close()
 	}
--- a/standin/client.go
+++ b/standin/client.go
@@ -39,20 +39,21 @@
 	HotKey  float64 // share of transactions that carry one key
 	HotCall float64 // share of transactions that are of the first account
 
-	stage  *Stage
-	load   Load
-	part   float64 // of the whole load that these make
-	reach  map[logic.SentryID]string
-	order  []logic.SentryID
-	mu     sync.Mutex
-	chance *rand.Rand
-	zipf   []float64 // cumulative
-	lines  []*callLine
-	name   string
-	seq    int
-	firsts []*First
-	done   chan struct{}
-	ended  sync.WaitGroup
+	stage   *Stage
+	load    Load
+	part    float64 // of the whole load that these make
+	reach   map[logic.SentryID]string
+	order   []logic.SentryID
+	mu      sync.Mutex
+	chance  *rand.Rand
+	zipf    []float64 // cumulative
+	lines   []*callLine
+	dialing map[logic.SentryID]bool
+	name    string
+	seq     int
+	firsts  []*First
+	done    chan struct{}
+	ended   sync.WaitGroup
 }
 
 // First is a transaction as the user sees it, with all its tries.
@@ -90,7 +91,7 @@
 func NewCallers(s *Stage, name string, load Load, part float64, reach map[logic.SentryID]string, order []logic.SentryID,
 	seed int64) *Callers {
 	c := &Callers{Burst: 1, stage: s, load: load, part: part, reach: reach, order: order, name: name,
-		chance: rand.New(rand.NewSource(seed)), done: make(chan struct{})}
+		chance: rand.New(rand.NewSource(seed)), done: make(chan struct{}), dialing: map[logic.SentryID]bool{}}
 	sum := 0.0
 	for n := 1; n <= max(1, load.Keys); n++ {
 		sum += math.Pow(float64(n), -load.Zipf)
@@ -118,6 +119,9 @@
 
 // Start has them begin.
 func (c *Callers) Start() {
+	for _, to := range c.order {
+		c.dial(to)
+	}
 	c.ended.Add(1)
 	go func() {
 		defer c.ended.Done()
@@ -227,28 +231,41 @@
 	c.try(f)
 }
 
-// line is an open connection to one of the sentries, or nil.
-func (c *Callers) line() *callLine {
+// line is an open connection to one of the sentries, or nil. One that is missing is opened behind its back: a dial under
+// the lock would wait for the poller, and answers that come there wait for the lock.
+func (c *Callers) line() (found *callLine) {
 	for _, at := range c.chance.Perm(len(c.order)) {
-		to := c.order[at]
+		to, has := c.order[at], false
 		for _, l := range c.lines {
 			if l.to == to && !l.link.Dead() {
-				return l
+				has = true
+				if found == nil {
+					found = l
+				}
 			}
 		}
-		l := &callLine{to: to, open: map[uint64]*callTry{}, all: map[uint64]string{}}
-		link, err := wire.Dial(c.reach[to], 100*time.Millisecond, wire.DefaultBounds,
-			func(_ *wire.Link, kind wire.Kind, body []byte) error { return c.answered(l, kind, body) },
-			func(*wire.Link, error) { go c.lost(l) })
-		if err != nil {
-			continue
+		if !has && !c.dialing[to] {
+			c.dialing[to] = true
+			go c.dial(to)
 		}
-		l.link = link
-		link.PutProto(wire.KindHello, &pb.Hello{Version: wire.Version, Role: pb.Hello_CLIENT})
-		c.lines = append(c.lines, l)
-		return l
 	}
-	return nil
+	return found
+}
+
+func (c *Callers) dial(to logic.SentryID) {
+	l := &callLine{to: to, open: map[uint64]*callTry{}, all: map[uint64]string{}}
+	link, err := wire.Dial(c.reach[to], 100*time.Millisecond, wire.DefaultBounds,
+		func(_ *wire.Link, kind wire.Kind, body []byte) error { return c.answered(l, kind, body) },
+		func(*wire.Link, error) { go c.lost(l) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dialing[to] = false
+	if err != nil {
+		return
+	}
+	l.link = link
+	link.PutProto(wire.KindHello, &pb.Hello{Version: wire.Version, Role: pb.Hello_CLIENT})
+	c.lines = append(c.lines, l)
 }
 
 // try asks a sentry, with the lock held.
--- a/standin/list.go
+++ b/standin/list.go
@@ -17,8 +17,8 @@
 // List is a stand-in for the list's service: it learns of changes late and tells those that follow it.
 type List struct {
 	Late   time.Duration
-	Refuse bool                                                 // every call fails
-	Reach  func(id logic.WorkerID, address, zone string) string // how a zone reaches a worker
+	Refuse bool                                    // every call fails
+	Reach  func(address, zone, from string) string // how one zone reaches an address in another; takes no lock of a fleet
 
 	stage   *Stage
 	mu      sync.Mutex
@@ -45,7 +45,7 @@
 // NewList makes a list that nobody can reach yet.
 func NewList(s *Stage) *List {
 	return &List{stage: s, follow: map[*wire.Link]*follower{}, version: 1,
-		Reach: func(_ logic.WorkerID, address, _ string) string { return address }}
+		Reach: func(address, _, _ string) string { return address }}
 }
 
 // Start has it listen.
@@ -157,7 +157,7 @@
 			continue
 		}
 		line := proto.Clone(x.line).(*pb.Line)
-		line.Address = l.Reach(logic.WorkerID(line.Id), line.Address, f.zone)
+		line.Address = l.Reach(line.Address, line.Zone, f.zone)
 		if x.started > 0 {
 			line.Young, line.Age = true, uint64(now-x.started)
 		}
