--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -696,10 +696,10 @@
 		return
 	}
 	s.flush()
-	for i := 0; i < 100 && s.server.Waiting() > 0; i++ {
+	s.inbox.close() // first: a poller that waited for room could not see to the writing
+	for i := 0; i < 500 && s.server.Waiting() > 0; i++ {
 		time.Sleep(2 * time.Millisecond)
 	}
-	s.inbox.close()
 	s.save()
 	for _, c := range s.conns {
 		c.link.Close(wire.ErrClosed)
