Matching expressions begun: language, cost bound, compiler, index of route tables

Need: routes by depot, class and kind, checked whole at load, at ten thousand of them. Change: internal/match on cel-go's parser and checker with nominal types, closures behind it, and an index of bit rows whose answer is the first match in order.

--- /dev/null
+++ b/internal/match/check.go
@@ -0,0 +1,460 @@
+package match
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"cel.dev/cel-go/cel"
+	"cel.dev/cel-go/common/ast"
+	"cel.dev/cel-go/common/operators"
+	"cel.dev/cel-go/common/types"
+)
+
+// Fault is what is wrong with an expression, at a place in it.
+type Fault struct {
+	Line, Column int // from 1
+	Text         string
+}
+
+func (f *Fault) Error() string { return fmt.Sprintf("%d:%d: %s", f.Line, f.Column, f.Text) }
+
+const (
+	mostSource = 32 << 10 // code points of an expression
+	mostDepth  = 64
+	mostNested = 4 // any and all within each other
+)
+
+type op uint8
+
+const (
+	opConst op = iota
+	opAttribute
+	opElement
+	opAnd
+	opOr
+	opNot
+	opIf
+	opEqual
+	opUnequal
+	opLess
+	opAtMost
+	opIn
+	opPrefix
+	opJoin
+	opHash
+	opGiven
+	opAny
+	opAll
+)
+
+// node is an expression after the check, with constants folded.
+type node struct {
+	op    op
+	of    *Type // of its value; nil for what is true or false
+	args  []*node
+	at    int // attribute, or depth of an element
+	value Value
+	set   []Value // opIn
+	cost  int64   // the most steps that it can take
+	most  int     // the most bytes of a text
+	where int64   // id in the source
+}
+
+// Checker checks expressions over one schema.
+type Checker struct {
+	schema *Schema
+	env    *cel.Env
+	types  map[string]*Type
+	units  map[string]unit
+	limit  int64
+}
+
+type unit struct {
+	of *Type
+	Unit
+}
+
+// NewChecker makes one. No expression may cost more than the limit, in steps.
+func NewChecker(s *Schema, limit int64) (*Checker, error) {
+	c := &Checker{schema: s, types: map[string]*Type{}, units: map[string]unit{}, limit: limit}
+	a := cel.TypeParamType("A")
+	both := func(t *cel.Type) []*cel.Type { return []*cel.Type{t, t} }
+	fn := func(name string, overloads ...cel.FunctionOpt) cel.EnvOption { return cel.Function(name, overloads...) }
+	over := func(id string, args []*cel.Type, result *cel.Type) cel.FunctionOpt {
+		return cel.Overload(id, args, result)
+	}
+	opts := []cel.EnvOption{
+		cel.ParserRecursionLimit(mostDepth), cel.ParserExpressionSizeLimit(mostSource),
+		cel.ClearMacros(), cel.Macros(cel.ExistsMacro, cel.AllMacro),
+		fn(operators.LogicalAnd, over("and", both(cel.BoolType), cel.BoolType)),
+		fn(operators.LogicalOr, over("or", both(cel.BoolType), cel.BoolType)),
+		fn(operators.LogicalNot, over("not", []*cel.Type{cel.BoolType}, cel.BoolType)),
+		fn(operators.NotStrictlyFalse, over("loop", []*cel.Type{cel.BoolType}, cel.BoolType)),
+		fn(operators.Conditional, over("if", []*cel.Type{cel.BoolType, a, a}, a)),
+		fn(operators.Equals, over("equal", both(a), cel.BoolType)),
+		fn(operators.NotEquals, over("unequal", both(a), cel.BoolType)),
+		fn(operators.In, over("in", []*cel.Type{a, cel.ListType(a)}, cel.BoolType)),
+		fn(operators.Add, over("join", both(cel.StringType), cel.StringType)),
+		fn(operators.Negate, over("minus_whole", []*cel.Type{cel.IntType}, cel.IntType),
+			over("minus", []*cel.Type{cel.DoubleType}, cel.DoubleType)),
+		fn("startsWith", cel.MemberOverload("prefix", both(cel.StringType), cel.BoolType)),
+		fn("hash", over("hash_text", []*cel.Type{cel.StringType}, cel.StringType)),
+		fn("given", over("given_any", []*cel.Type{a}, cel.BoolType)),
+		fn("span", over("span_text", []*cel.Type{cel.StringType}, cel.DurationType)),
+	}
+	ordered := []*cel.Type{cel.IntType, cel.DurationType, cel.StringType}
+	for _, attribute := range s.Attributes {
+		t := attribute.Type
+		opts = append(opts, cel.Variable(attribute.Name, celType(t)))
+		if t.Kind == List {
+			t = t.Of
+		}
+		if c.types[t.Name] != nil || t.Kind != Set && t.Kind != Measure {
+			continue
+		}
+		c.types[t.Name] = t
+		for _, member := range t.Names {
+			opts = append(opts, cel.Variable(t.Name+"."+member, celType(t)))
+		}
+		if t.Kind == Measure {
+			ordered = append(ordered, celType(t))
+			for _, u := range t.Units {
+				if _, taken := c.units[u.Name]; taken {
+					return nil, fmt.Errorf("unit %s is declared for two measures", u.Name)
+				}
+				c.units[u.Name] = unit{t, u}
+				opts = append(opts, fn(u.Name, over("unit_"+u.Name, []*cel.Type{cel.DoubleType}, celType(t)),
+					over("unit_whole_"+u.Name, []*cel.Type{cel.IntType}, celType(t))))
+			}
+		}
+	}
+	for _, name := range []string{operators.Less, operators.LessEquals, operators.Greater, operators.GreaterEquals} {
+		var overloads []cel.FunctionOpt
+		for i, t := range ordered {
+			overloads = append(overloads, over(fmt.Sprintf("order_%s_%d", name, i), both(t), cel.BoolType))
+		}
+		opts = append(opts, fn(name, overloads...))
+	}
+	env, err := cel.NewCustomEnv(opts...)
+	if err != nil {
+		return nil, err
+	}
+	c.env = env
+	return c, nil
+}
+
+func celType(t *Type) *cel.Type {
+	switch t.Kind {
+	case Text:
+		return cel.StringType
+	case Whole:
+		return cel.IntType
+	case Flag:
+		return cel.BoolType
+	case Span:
+		return cel.DurationType
+	case List:
+		return cel.ListType(celType(t.Of))
+	}
+	return cel.OpaqueType(t.Name)
+}
+
+// check parses and checks a text, and says what it gives: a flag (nil type) or a text.
+func (c *Checker) check(text string) (*node, error) {
+	if !utf8.ValidString(text) || strings.ContainsRune(text, 0) {
+		return nil, &Fault{1, 1, "found NUL or bytes that are no UTF-8, expected text"}
+	}
+	checked, issues := c.env.Compile(text)
+	if issues != nil && issues.Err() != nil {
+		e := issues.Errors()[0]
+		return nil, &Fault{max(1, e.Location.Line()), max(1, e.Location.Column()+1), c.explain(e.Message)}
+	}
+	b := &builder{c: c, tree: checked.NativeRep(), elements: map[string]element{}}
+	n, err := b.build(b.tree.Expr(), 0)
+	if err != nil {
+		return nil, err
+	}
+	if n.cost > c.limit {
+		worst := n
+		for next := n; next != nil; { // down the part that costs most
+			worst, next = next, nil
+			for _, a := range worst.args {
+				if a.cost > c.limit/2 && (next == nil || a.cost > next.cost) {
+					next = a
+				}
+			}
+		}
+		return nil, b.fault(worst.where, "found a cost of %d steps, most of it here, expected at most %d", n.cost, c.limit)
+	}
+	return n, nil
+}
+
+// explain adds to cel-go's word what would fit.
+func (c *Checker) explain(message string) string {
+	message = strings.ReplaceAll(message, "\n", " ")
+	_, rest, _ := strings.Cut(message, "undeclared reference to '")
+	name, _, _ := strings.Cut(rest, "'")
+	t := c.types[name]
+	if t == nil || t.Kind != Set {
+		return message
+	}
+	members := t.Names
+	if len(members) > 20 {
+		members = append(members[:20:20], "...")
+	}
+	return fmt.Sprintf("found a member that %s does not have, expected one of %s", name, strings.Join(members, ", "))
+}
+
+type element struct {
+	depth int
+	of    *Type
+}
+
+type builder struct {
+	c        *Checker
+	tree     *ast.AST
+	elements map[string]element
+}
+
+func (b *builder) fault(id int64, format string, args ...any) error {
+	at := b.tree.SourceInfo().GetStartLocation(id)
+	return &Fault{max(1, at.Line()), at.Column() + 1, fmt.Sprintf(format, args...)}
+}
+
+var (
+	textType  = &Type{Kind: Text}
+	wholeType = &Type{Kind: Whole}
+	flagType  = &Type{Kind: Flag}
+	spanType  = &Type{Kind: Span}
+)
+
+func (b *builder) build(e ast.Expr, depth int) (*node, error) {
+	n := &node{where: e.ID(), cost: 1}
+	switch e.Kind() {
+	case ast.LiteralKind:
+		n.value = Value{Given: true}
+		switch v := e.AsLiteral().(type) {
+		case types.String:
+			n.of, n.value.Text, n.most = textType, string(v), len(v)
+		case types.Int:
+			n.of, n.value.Num = wholeType, int64(v)
+		case types.Double:
+			n.of, n.value.Fig = &Type{Kind: Measure}, float64(v)
+		case types.Bool:
+			n.of = flagType
+			if v {
+				n.value.Num = 1
+			}
+		default:
+			return nil, b.fault(e.ID(), "found a literal of type %s, expected a text, a number or a flag", v.Type().TypeName())
+		}
+		return n, nil
+	case ast.IdentKind:
+		return b.named(n, e.AsIdent(), depth)
+	case ast.SelectKind:
+		s := e.AsSelect()
+		if s.Operand().Kind() == ast.IdentKind {
+			return b.named(n, s.Operand().AsIdent()+"."+s.FieldName(), depth)
+		}
+	case ast.ComprehensionKind:
+		return b.loop(n, e.AsComprehension(), depth)
+	case ast.CallKind:
+		return b.call(n, e.AsCall(), depth)
+	}
+	return nil, b.fault(e.ID(), "found what this language does not have, expected a comparison, a name or a call")
+}
+
+func (b *builder) named(n *node, name string, depth int) (*node, error) {
+	if x, is := b.elements[name]; is {
+		n.op, n.at, n.of, n.most = opElement, x.depth, x.of, x.of.Most
+		return n, nil
+	}
+	if at, is := b.c.schema.at[name]; is {
+		n.op, n.at, n.of = opAttribute, at, b.c.schema.Attributes[at].Type
+		n.most = n.of.Most
+		return n, nil
+	}
+	if set, member, is := strings.Cut(name, "."); is && b.c.types[set] != nil {
+		for i, m := range b.c.types[set].Names {
+			if m == member {
+				n.of, n.value = b.c.types[set], Value{Given: true, Num: int64(i)}
+				return n, nil
+			}
+		}
+	}
+	return nil, b.fault(n.where, "found %q, expected a declared name", name)
+}
+
+// loop is any or all of a list, as the macros expand it.
+func (b *builder) loop(n *node, x ast.ComprehensionExpr, depth int) (*node, error) {
+	if depth >= mostNested {
+		return nil, b.fault(n.where, "found any or all nested deeper than %d", mostNested)
+	}
+	list, err := b.build(x.IterRange(), depth)
+	if err != nil {
+		return nil, err
+	}
+	step := x.LoopStep()
+	if list.of == nil || list.of.Kind != List || list.op != opAttribute || step.Kind() != ast.CallKind || len(step.AsCall().Args()) != 2 {
+		return nil, b.fault(n.where, "found a loop that is not over an attribute's list, expected one that is")
+	}
+	n.op = opAny
+	if step.AsCall().FunctionName() == operators.LogicalAnd {
+		n.op = opAll
+	}
+	hidden, shadows := b.elements[x.IterVar()]
+	b.elements[x.IterVar()] = element{depth, list.of.Of}
+	body, err := b.build(step.AsCall().Args()[1], depth+1)
+	if err != nil {
+		return nil, err
+	}
+	delete(b.elements, x.IterVar())
+	if shadows {
+		b.elements[x.IterVar()] = hidden
+	}
+	n.at, n.args, n.of = depth, []*node{list, body}, flagType
+	n.cost = 1 + list.cost + times(int64(list.of.Most), body.cost)
+	return n, nil
+}
+
+// times multiplies costs; what is too much stays too much.
+func times(a, b int64) int64 {
+	if b > 0 && a > math.MaxInt64/8/b {
+		return math.MaxInt64 / 8
+	}
+	return a * b
+}
+
+func (b *builder) call(n *node, x ast.CallExpr, depth int) (*node, error) {
+	args := x.Args()
+	if x.IsMemberFunction() {
+		args = append([]ast.Expr{x.Target()}, args...)
+	}
+	if x.FunctionName() == operators.In && args[1].Kind() == ast.ListKind {
+		return b.member(n, args, depth)
+	}
+	for _, a := range args {
+		arg, err := b.build(a, depth)
+		if err != nil {
+			return nil, err
+		}
+		n.args = append(n.args, arg)
+		n.cost = min(math.MaxInt64/8, n.cost+arg.cost)
+	}
+	n.of = flagType
+	words := func(of ...*node) { // comparing texts takes a step for each eight bytes
+		most := of[0].most
+		for _, x := range of {
+			most = min(most, x.most)
+		}
+		n.cost += int64(most / 8)
+	}
+	if u, is := b.c.units[x.FunctionName()]; is {
+		return b.unit(n, u)
+	}
+	swap := func() { n.args[0], n.args[1] = n.args[1], n.args[0] }
+	switch x.FunctionName() {
+	case operators.LogicalAnd:
+		n.op = opAnd
+	case operators.LogicalOr:
+		n.op = opOr
+	case operators.LogicalNot:
+		n.op = opNot
+	case operators.Conditional:
+		n.op, n.of, n.most = opIf, n.args[1].of, max(n.args[1].most, n.args[2].most)
+	case operators.Equals, operators.NotEquals:
+		n.op = opEqual
+		if x.FunctionName() == operators.NotEquals {
+			n.op = opUnequal
+		}
+		if n.args[0].of.Kind == List {
+			return nil, b.fault(n.where, "found a comparison of lists, expected any or all of one")
+		}
+		words(n.args...)
+	case operators.Less, operators.LessEquals, operators.Greater, operators.GreaterEquals:
+		n.op = opLess
+		if strings.HasSuffix(x.FunctionName(), "=_") {
+			n.op = opAtMost
+		}
+		if strings.HasPrefix(x.FunctionName(), "_>") {
+			swap()
+		}
+		words(n.args...)
+	case operators.In:
+		return nil, b.fault(n.where, "found membership in what is no list of constants, expected one, or any of an attribute")
+	case operators.Add:
+		n.op, n.of, n.most = opJoin, textType, n.args[0].most+n.args[1].most
+		if n.most > mostText {
+			return nil, b.fault(n.where, "found a text of up to %d bytes, expected at most %d", n.most, mostText)
+		}
+		n.cost += int64(n.most / 8)
+	case "startsWith":
+		n.op = opPrefix
+		words(n.args...)
+	case "hash":
+		n.op, n.of, n.most = opHash, textType, 16
+		n.cost += int64(n.args[0].most / 8)
+	case "given":
+		if n.op = opGiven; n.args[0].op != opAttribute {
+			return nil, b.fault(n.where, "found given of what is no attribute, expected one")
+		}
+	case "span":
+		d, err := time.ParseDuration(n.args[0].value.Text)
+		if n.args[0].op != opConst || err != nil {
+			return nil, b.fault(n.where, "found a span that is no constant such as \"250ms\"")
+		}
+		return &node{of: spanType, where: n.where, cost: 1, value: Value{Given: true, Num: d.Microseconds()}}, nil
+	case operators.Negate:
+		if n.args[0].op != opConst {
+			return nil, b.fault(n.where, "found - before what is no constant, expected a number")
+		}
+		v := n.args[0].value
+		v.Num, v.Fig = -v.Num, -v.Fig
+		return &node{of: n.args[0].of, where: n.where, cost: 1, value: v}, nil
+	default:
+		return nil, b.fault(n.where, "found %s, expected what this language has", x.FunctionName())
+	}
+	return n, nil
+}
+
+// unit folds a figure with its unit.
+func (b *builder) unit(n *node, u unit) (*node, error) {
+	a := n.args[0]
+	if a.op != opConst {
+		return nil, b.fault(n.where, "found %s of what is no constant, expected a number", u.Name)
+	}
+	figure := a.value.Fig
+	if a.of.Kind == Whole {
+		figure = float64(a.value.Num)
+	}
+	v := Value{Given: true, Fig: figure*u.Scale + u.Offset}
+	if math.IsNaN(v.Fig) || math.IsInf(v.Fig, 0) {
+		return nil, b.fault(n.where, "found %g, expected a finite figure", v.Fig)
+	}
+	return &node{of: u.of, where: n.where, cost: 1, value: v}, nil
+}
+
+// member is membership in a list of constants.
+func (b *builder) member(n *node, args []ast.Expr, depth int) (*node, error) {
+	of, err := b.build(args[0], depth)
+	if err != nil {
+		return nil, err
+	}
+	n.op, n.of, n.args = opIn, flagType, []*node{of}
+	n.cost += of.cost
+	for _, e := range args[1].AsList().Elements() {
+		x, err := b.build(e, depth)
+		if err != nil {
+			return nil, err
+		}
+		if x.op != opConst {
+			return nil, b.fault(x.where, "found what is no constant in a list, expected constants")
+		}
+		n.set = append(n.set, x.value)
+		n.cost += 1 + int64(min(of.most, x.most)/8)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/match/match_test.go
@@ -0,0 +1,285 @@
+package match
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var (
+	site        = &Type{Kind: Set, Name: "site", Names: []string{"kingston", "mandeville", "may_pen"}}
+	truck       = &Type{Kind: Set, Name: "truck", Names: []string{"reefer", "van"}}
+	temperature = &Type{Kind: Measure, Name: "temperature", Units: []Unit{{"celsius", 1, 0}, {"fahrenheit", 5. / 9, -160. / 9}}}
+	weight      = &Type{Kind: Measure, Name: "weight", Units: []Unit{{"kg", 1, 0}, {"tonne", 1000, 0}}}
+)
+
+func schema(t testing.TB) *Schema {
+	s, err := NewSchema([]Attribute{
+		{"depot", site, false}, {"home", site, true}, {"class", truck, true}, {"temp", temperature, true}, {"load", weight, true},
+		{"id", &Type{Kind: Text, Most: 64}, true}, {"kind", &Type{Kind: Text, Most: 16}, true}, {"size", &Type{Kind: Whole}, true},
+		{"urgent", &Type{Kind: Flag}, true}, {"age", &Type{Kind: Span}, true},
+		{"temps", &Type{Kind: List, Most: 20, Of: temperature}, true}, {"stops", &Type{Kind: List, Most: 10, Of: site}, true},
+		{"tags", &Type{Kind: List, Most: 8, Of: &Type{Kind: Text, Most: 16}}, true},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func checker(t testing.TB, limit int64) (*Schema, *Checker) {
+	s := schema(t)
+	c, err := NewChecker(s, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, c
+}
+
+func TestHolds(t *testing.T) {
+	s, c := checker(t, 100_000)
+	r := s.NewRecord()
+	for name, v := range map[string]any{"depot": "kingston", "class": "reefer", "temp": 8.0, "id": "drop-17", "size": int64(12),
+		"urgent": true, "age": 90 * time.Second, "temps": []any{2.0, 3.5, 9.0}, "stops": []any{"kingston", "may_pen"}, "tags": []any{"a", "b"}} {
+		if err := s.Set(r, name, v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for text, want := range map[string]bool{
+		`depot == site.kingston`: true, `depot != site.kingston`: false, `depot == home`: false, `!(depot == home)`: true,
+		`home != site.kingston`: false, `given(home)`: false, `given(class)`: true,
+		`depot in [site.kingston, site.may_pen]`: true, `depot in [site.mandeville]`: false, `class == truck.van`: false,
+		`temp > celsius(7.9)`: true, `temp < celsius(8)`: false, `temp >= fahrenheit(46.4)`: true, `temp >= fahrenheit(46.5)`: false,
+		`load < tonne(1)`: false, `load >= tonne(1)`: false, `id.startsWith("drop-")`: true, `id.startsWith("drop-17x")`: false,
+		`id == "drop-17"`: true, `kind == ""`: false, `id in ["a", "drop-17"]`: true, `size >= 12 && size < 13`: true, `size == -12`: false,
+		`size in [1, 12]`: true, `urgent`: true, `!urgent || size > 100`: false, `age > span("1m")`: true, `age == span("90s")`: true,
+		`temps.exists(x, x > celsius(8))`: true, `temps.all(x, x > celsius(8))`: false, `temps.all(x, x > celsius(1))`: true,
+		`stops.exists(x, x == depot)`: true, `stops.exists(x, temps.exists(y, y > temp && x == site.may_pen))`: true,
+		`tags.exists(x, x == "b")`: true, `tags.all(x, x.startsWith("a"))`: false, `urgent ? size > 1 : size > 100`: true,
+		`(urgent ? id : kind) == "drop-17"`: true, `id + "!" == "drop-17!"`: true, `hash(id) == hash("drop-17")`: true, `true`: true,
+	} {
+		p, err := c.Predicate(text)
+		if err != nil {
+			t.Errorf("%s: %v", text, err)
+			continue
+		}
+		got := p.Holds(r)
+		ref, steps := p.Interpret(r)
+		if got != want || ref != want || steps > p.Cost {
+			t.Errorf("%s: %v, by the reference %v, expected %v; %d steps of %d", text, got, ref, want, steps, p.Cost)
+		}
+	}
+	k, err := c.Key(`depot == site.kingston ? "k-" + id + kind + hash(id) : id`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, ref := string(k.Append([]byte("> "), r)), ""; !strings.HasPrefix(got, "> k-drop-17") || len(got) != 27 {
+		ref, _ = k.Interpret(r)
+		t.Errorf("key %q, by the reference %q", got, ref)
+	}
+}
+
+// What can't be meant fails when it is checked, with its place and what was found.
+func TestFaults(t *testing.T) {
+	_, c := checker(t, 5_000)
+	deep := func(n int, open, close string) string {
+		return strings.Repeat(open, n) + "urgent" + strings.Repeat(close, n)
+	}
+	doubling := `id`
+	for range 12 {
+		doubling = "(" + doubling + " + " + doubling + ")"
+	}
+	for _, x := range []struct{ text, want string }{
+		{`temp == depot`, "1:6: found no matching overload for '_==_' applied to '(temperature, site)'"},
+		{`depot == truck.van`, "1:7: found no matching overload for '_==_' applied to '(site, truck)'"},
+		{`depot == site.moon`, "1:10: found a member that site does not have, expected one of kingston, mandeville, may_pen"},
+		{`urgent && temp > kelvin(3)`, "1:24: undeclared reference to 'kelvin'"}, {`temp > 8`, "no matching overload"},
+		{`temp > kg(8)`, "no matching overload for '_>_' applied to '(temperature, weight)'"}, {`size == "a"`, "no matching overload"},
+		{`depot < home`, "no matching overload"}, {`cargo == 1`, "undeclared reference to 'cargo'"}, {`size`, "found a whole number, expected true or false"},
+		{`size + 1 == 2`, "no matching overload"}, {`size / 0 == 1`, "undeclared reference to '_/_'"}, {`id.matches("a*")`, "undeclared reference to 'matches'"},
+		{`temps == temps`, "found a comparison of lists"}, {`[1].exists(x, x == 1)`, "what this language does not have"},
+		{`size in [size]`, "no constant in a list"}, {`temp > celsius(1e999)`, "invalid double literal"}, {`temp > celsius(-1e308 )  && temp < fahrenheit(1e308) && size == 99999999999999999999`, "invalid int literal"},
+		{`given(hash(id))`, "given of what is no attribute"}, {`age > span(id)`, "no constant such as"}, {`age > span("1 day")`, "no constant such as"},
+		{"urgent\x00", "found NUL"}, {"urgent && \xff", "no UTF-8"}, {`uгgent`, "Syntax error"}, {``, "Syntax error"},
+		{deep(100_000, "(", ")"), "1:1: expression code point size exceeds limit"}, {deep(100_000, "!", ""), "exceeds limit"},
+		{deep(10_000, "(", ")"), "recursion"}, {deep(10_000, "!(", ")"), "recursion"}, {deep(60, "!(", ")"), ""},
+		{strings.Repeat("urgent || ", 110_000) + "urgent", "exceeds limit"}, {doubling + ` == "a"`, "found a text of up to"},
+		{`temps.exists(a, temps.exists(b, temps.exists(c, a > b && b > c)))`, "found a cost of"},
+		{`stops.exists(a, stops.exists(b, stops.exists(c, stops.exists(d, stops.exists(e, a == b)))))`, "nested deeper than 4"},
+		{`{"a": 1}.a == 1`, "what this language does not have"}, {`urgent.foo`, "1:7"}, {`1.5 == 1.5`, ""},
+	} {
+		_, err := c.Predicate(x.text)
+		short := x.text[:min(80, len(x.text))]
+		if x.want == "" && err != nil || x.want != "" && (err == nil || !strings.Contains(err.Error(), x.want)) {
+			t.Errorf("%s: %v, expected %q", short, err, x.want)
+		}
+	}
+	for _, bad := range [][]Attribute{
+		{{"a b", &Type{Kind: Flag}, true}}, {{"a", &Type{Kind: Flag}, true}, {"a", &Type{Kind: Flag}, true}}, {{"a", &Type{Kind: Text}, true}},
+		{{"a", &Type{Kind: Set, Name: "s"}, true}}, {{"a", &Type{Kind: Measure, Name: "m", Units: []Unit{{"u", 0, 0}}}, true}},
+		{{"a", &Type{Kind: List, Most: 3, Of: &Type{Kind: List, Most: 3, Of: &Type{Kind: Flag}}}, true}},
+		{{"a", site, true}, {"b", &Type{Kind: Set, Name: "site", Names: []string{"x"}}, true}},
+	} {
+		if _, err := NewSchema(bad); err == nil {
+			t.Errorf("taken: %+v", bad)
+		}
+	}
+}
+
+// What does not fit is left missing and said; nothing else of the record is lost.
+func TestHostileRecords(t *testing.T) {
+	s, c := checker(t, 1000)
+	p, err := c.Predicate(`urgent && !(id == "x") && !(temp < celsius(1))`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := s.NewRecord()
+	if err := s.Set(r, "urgent", true); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 10_000 {
+		if s.Set(r, fmt.Sprint("a", i), "x") == nil {
+			t.Fatal("an attribute that nobody declared is taken")
+		}
+	}
+	for name, v := range map[string]any{"id": strings.Repeat("x", 10<<20), "temp": math.NaN(), "load": math.Inf(1), "size": "12",
+		"depot": "moon", "kind": int64(3), "temps": make([]any, 21), "stops": []any{"kingston", 3}, "age": int64(5), "class": nil} {
+		if err := s.Set(r, name, v); err == nil || len(err.Error()) > 200 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if !p.Holds(r) {
+		t.Error("what was missing made a comparison true")
+	}
+}
+
+// texts draws expressions that mostly check.
+func texts(t *rapid.T, depth int, elements []string) string {
+	pick := func(of ...string) string { return rapid.SampledFrom(of).Draw(t, "atom") }
+	if depth <= 0 {
+		sites := append([]string{"depot", "home", "site.kingston", "site.may_pen"}, elements...)
+		return pick(
+			pick(sites...)+pick(" == ", " != ")+pick(sites...), "depot in [site.kingston, site.mandeville]", "urgent", "given(home)",
+			pick("temp", "celsius(8)", "fahrenheit(40)")+pick(" < ", " <= ", " > ", " >= ", " == ")+pick("temp", "celsius(4.5)"),
+			pick("size", "3")+pick(" < ", " == ", " >= ", " != ")+pick("size", "-2", "7"), "size in [1, 2, 3]",
+			pick("id", "kind", `"drop"`, `id + kind`, `hash(id)`, `(urgent ? id : kind)`)+pick(" == ", " != ", " < ", " <= ")+pick("id", `"drop"`, "kind"),
+			`id.startsWith(kind)`, `id in ["drop", "a"]`, `age > span("1m")`, `temps.all(x, x < celsius(6))`, `tags.exists(x, x == kind)`)
+	}
+	sub := func() string { return texts(t, depth-1, elements) }
+	switch rapid.IntRange(0, 5).Draw(t, "form") {
+	case 0:
+		return "(" + sub() + " && " + sub() + ")"
+	case 1:
+		return "(" + sub() + " || " + sub() + ")"
+	case 2:
+		return "!(" + sub() + ")"
+	case 3:
+		return "(" + sub() + " ? " + sub() + " : " + sub() + ")"
+	case 4:
+		x := fmt.Sprint("e", len(elements))
+		return "stops." + pick("exists", "all") + "(" + x + ", " + texts(t, depth-1, append(elements[:len(elements):len(elements)], x)) + ")"
+	}
+	return sub()
+}
+
+func draw(t *rapid.T, s *Schema, r *Record) {
+	r.Clear()
+	for _, a := range s.Attributes {
+		if rapid.IntRange(0, 3).Draw(t, "missing") == 0 {
+			continue
+		}
+		if err := s.Set(r, a.Name, drawn(t, a.Type)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func drawn(t *rapid.T, of *Type) any {
+	switch of.Kind {
+	case Text:
+		return rapid.SampledFrom([]string{"", "a", "drop", "drop-17", "dropdrop"}).Draw(t, "text")
+	case Whole:
+		return rapid.Int64Range(-3, 8).Draw(t, "whole")
+	case Flag:
+		return rapid.Bool().Draw(t, "flag")
+	case Span:
+		return time.Duration(rapid.IntRange(0, 3).Draw(t, "span")) * time.Minute
+	case Measure:
+		return float64(rapid.IntRange(0, 20).Draw(t, "figure")) / 2
+	case Set:
+		return rapid.SampledFrom(of.Names).Draw(t, "member")
+	}
+	var list []any
+	for range rapid.IntRange(0, 4).Draw(t, "n") {
+		list = append(list, drawn(t, of.Of))
+	}
+	return list
+}
+
+// Compiled and plainly interpreted, every expression says the same of every record, within its cost.
+func TestCompiledIsTheReference(t *testing.T) {
+	s, c := checker(t, math.MaxInt32)
+	r, checked := s.NewRecord(), 0
+	rapid.Check(t, func(t *rapid.T) {
+		text := texts(t, rapid.IntRange(0, 3).Draw(t, "depth"), nil)
+		p, err := c.Predicate(text)
+		if err != nil {
+			if strings.Contains(err.Error(), "nested deeper") {
+				t.Skip()
+			}
+			t.Fatalf("%s: %v", text, err)
+		}
+		for range 5 {
+			draw(t, s, r)
+			want, steps := p.Interpret(r)
+			if got := p.Holds(r); got != want || steps > p.Cost {
+				t.Fatalf("%s of %+v: %v, by the reference %v; %d steps, bound %d", text, r.values, got, want, steps, p.Cost)
+			}
+			checked++
+		}
+	})
+	if checked < 100 {
+		t.Errorf("only %d records were tried", checked)
+	}
+}
+
+func FuzzPredicate(f *testing.F) {
+	s, c := checker(f, 10_000)
+	r := s.NewRecord()
+	for _, text := range []string{`depot == site.kingston && temps.exists(x, x > celsius(8))`, `urgent ? size > 1 : id + kind < "a"`, `size in [1]`} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		p, err := c.Predicate(text)
+		if err != nil {
+			return
+		}
+		if want, steps := p.Interpret(r); p.Holds(r) != want || steps > p.Cost {
+			t.Errorf("%q: %v, %d steps of %d", text, want, steps, p.Cost)
+		}
+	})
+}
+
+func BenchmarkPredicate(b *testing.B) {
+	s, c := checker(b, 10_000)
+	p, err := c.Predicate(`depot == site.kingston && class in [truck.reefer] && temp > celsius(7.5) && id.startsWith("drop-") && size >= 3`)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := s.NewRecord()
+	for name, v := range map[string]any{"depot": "kingston", "class": "reefer", "temp": 8.0, "id": "drop-17", "size": int64(12)} {
+		if err := s.Set(r, name, v); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if !p.Holds(r) {
+			b.Fatal("does not hold")
+		}
+	}
+}
--- /dev/null
+++ b/internal/match/table_test.go
@@ -0,0 +1,140 @@
+package match
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever the routes, the index answers as trying each in turn by the reference does; a covered route is never it.
+func TestFirstIsTheFirst(t *testing.T) {
+	s, c := checker(t, math.MaxInt32)
+	r := s.NewRecord()
+	rapid.Check(t, func(t *rapid.T) {
+		var routes []Route
+		for i := range rapid.IntRange(0, 90).Draw(t, "routes") {
+			parts := []string{texts(t, rapid.IntRange(0, 1).Draw(t, "depth"), nil)}
+			for range rapid.IntRange(0, 2).Draw(t, "more") {
+				parts = append(parts, texts(t, 0, nil))
+			}
+			routes = append(routes, Route{Name: fmt.Sprint(i), When: strings.Join(parts, " && "), Key: "id"})
+		}
+		table, faults := NewTable(c, routes)
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		covered := map[int]bool{}
+		for _, x := range table.Covered {
+			if covered[x.Route] = true; x.By >= x.Route {
+				t.Fatalf("%+v", x)
+			}
+		}
+		for range 8 {
+			draw(t, s, r)
+			want := -1
+			for i, p := range table.when {
+				if holds, _ := p.Interpret(r); holds {
+					want = i
+					break
+				}
+			}
+			if got := table.First(r); got != want || covered[got] {
+				t.Fatalf("route %d, by the reference %d, covered %v, of %+v\n%v", got, want, covered[got], r.values, routes)
+			}
+		}
+	})
+}
+
+func TestCovers(t *testing.T) {
+	_, c := checker(t, 10_000)
+	for _, x := range []struct {
+		first, second string
+		covers        bool
+	}{
+		{`true`, `urgent`, true}, {`urgent`, `urgent`, true}, {`urgent`, `urgent && size > 3`, true}, {`urgent && size > 3`, `urgent`, false},
+		{`size > 3`, `size > 4`, true}, {`size > 3`, `size >= 3`, false}, {`size >= 3`, `size > 3`, true}, {`size > 3`, `size < 9`, false},
+		{`depot in [site.kingston, site.may_pen]`, `depot == site.may_pen`, true}, {`depot == site.may_pen`, `depot in [site.kingston, site.may_pen]`, false},
+		{`id.startsWith("dr")`, `id.startsWith("drop")`, true}, {`id.startsWith("dr")`, `id == "drop"`, true}, {`id.startsWith("drop")`, `id.startsWith("dr")`, false},
+		{`temp < celsius(8)`, `temp < fahrenheit(40)`, true}, {`temp < celsius(8)`, `temp < fahrenheit(50)`, false}, {`depot == home`, `depot == home && urgent`, true},
+		{`home == site.kingston`, `depot == site.kingston`, false}, {`age < span("1m")`, `age < span("10s")`, true}, {`!urgent`, `urgent`, false},
+		{`size > 9007199254740993`, `size > 9007199254740992`, false},
+	} {
+		table, faults := NewTable(c, []Route{{Name: "a", When: x.first}, {Name: "b", When: x.second}})
+		if len(faults) > 0 || (len(table.Covered) == 1) != x.covers {
+			t.Errorf("%s, then %s: covered %v, expected %v %v", x.first, x.second, table.Covered, x.covers, faults)
+		}
+	}
+	_, faults := NewTable(c, []Route{{Name: "a", When: "urgnt"}, {Name: "b", When: "urgent", Key: "size"}, {Name: "c", When: "urgent"}})
+	if len(faults) != 2 || !strings.Contains(faults[0].Error(), "route a, when: 1:1: undeclared reference to 'urgnt'") ||
+		!strings.Contains(faults[1].Error(), "route b, key: 1:1: found a whole number, expected a text") {
+		t.Errorf("%v", faults)
+	}
+}
+
+// made is a table as a large operator might have it: by depot, class, kind and size, eight attributes.
+func made(tb testing.TB, n int) (*Schema, *Table) {
+	sites := &Type{Kind: Set, Name: "site"}
+	for i := range 200 {
+		sites.Names = append(sites.Names, fmt.Sprint("s", i))
+	}
+	s, err := NewSchema([]Attribute{{"depot", sites, false}, {"class", truck, true}, {"kind", &Type{Kind: Text, Most: 16}, true},
+		{"size", &Type{Kind: Whole}, true}, {"temp", temperature, true}, {"urgent", &Type{Kind: Flag}, true},
+		{"id", &Type{Kind: Text, Most: 64}, true}, {"age", &Type{Kind: Span}, true}})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c, err := NewChecker(s, 10_000)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var routes []Route
+	for i := range n {
+		routes = append(routes, Route{Name: fmt.Sprint(i), When: fmt.Sprintf("depot == site.s%d && kind == \"k%d\" && size >= %d && temp < celsius(%d)",
+			i%200, i/200%25, i/5000*10, 5+i%7)})
+	}
+	table, faults := NewTable(c, routes)
+	if len(faults) > 0 {
+		tb.Fatal(faults[0])
+	}
+	return s, table
+}
+
+func records(tb testing.TB, s *Schema) (all []*Record) {
+	chance := rand.New(rand.NewSource(1))
+	for range 256 {
+		r := s.NewRecord()
+		for name, v := range map[string]any{"depot": fmt.Sprint("s", chance.Intn(200)), "class": "van", "kind": fmt.Sprint("k", chance.Intn(25)),
+			"size": int64(chance.Intn(20)), "temp": float64(chance.Intn(10)), "urgent": true, "id": "drop-1"} {
+			if err := s.Set(r, name, v); err != nil {
+				tb.Fatal(err)
+			}
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
+func BenchmarkFirst(b *testing.B) {
+	for _, n := range []int{1, 100, 10_000} {
+		s, table := made(b, n)
+		all := records(b, s)
+		for name, f := range map[string]func(*Record) int{"indexed": table.First, "scan": table.Scan} {
+			b.Run(fmt.Sprint(name, "/", n), func(b *testing.B) {
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					f(all[i%len(all)])
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkLoad(b *testing.B) {
+	for b.Loop() {
+		made(b, 10_000)
+	}
+}
