Sentry: answers taken before a time-out count after a stall; no disk wait on the loop

Need: a reread found that a loop that had stood still fired time-outs before answers taken earlier; the list's file was synced on the loop; workers that a whole list no longer names were kept for ever; a size or cap that is no number reached the module; a changed address kept old connections. Change: the time is read before the inbox is taken, the file written beside the loop, the absent held for gone, such lines and news passed over with a line in the log.

--- a/internal/sentry/book.go
+++ b/internal/sentry/book.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"time"
@@ -23,7 +24,8 @@
 	at      map[logic.WorkerID]int
 	lives   map[logic.WorkerID]life
 	news    logic.News // as last told, for the breaches
-	saving  bool
+	unsaved bool       // the timer to save it runs, or a change came while it was being written
+	writing bool
 }
 
 // life keeps a worker's start the same on this sentry's clock, however often its age is told.
@@ -66,7 +68,7 @@
 	list := make([]logic.Worker, 0, len(m.Lines))
 	for _, line := range m.Lines {
 		id := logic.WorkerID(line.Id)
-		if id == "" {
+		if id == "" || math.IsNaN(line.Size) || math.IsInf(line.Size, 0) {
 			continue
 		}
 		w := logic.Worker{ID: id, Build: logic.BuildID(line.Build), Zone: b.zone(line.Zone), Cell: int(line.Cell),
@@ -168,25 +170,53 @@
 const saveWait = logic.Micros(500_000)
 
 func (s *Sentry) saveSoon() {
-	if !s.book.saving {
-		s.book.saving = true
+	if s.book.unsaved {
+		return
+	}
+	s.book.unsaved = true
+	if !s.book.writing {
 		s.timers.add(timer{due: s.now + saveWait, kind: timeSave})
 	}
 }
 
-// save writes the list beside the old file and puts it in its place, so that a kill at any point leaves one whole.
+// save writes the list beside the old file and puts it in its place, so that a kill at any point leaves one whole. The
+// loop does not wait for the disk.
 func (s *Sentry) save() {
-	if !s.book.saving {
+	data, err := s.book.encode(s.now)
+	if err != nil {
+		s.saved(err)
+		return
+	}
+	s.book.unsaved, s.book.writing = false, true
+	s.writing.Add(1)
+	go func() {
+		defer s.writing.Done()
+		s.inbox.put(&event{kind: evSaved, err: replaceFile(s.sheet.Post.Memory, data)}, false)
+	}()
+}
+
+func (s *Sentry) saved(err error) {
+	s.book.writing = false
+	if err != nil {
+		s.log.Error().Str("file", s.sheet.Post.Memory).Err(err).Msg("the list could not be saved")
+	}
+	if s.book.unsaved {
+		s.timers.add(timer{due: s.now + saveWait, kind: timeSave})
+	}
+}
+
+// saveLast saves what has changed since, at the end of the loop.
+func (s *Sentry) saveLast() {
+	s.writing.Wait()
+	if !s.book.unsaved {
 		return
 	}
-	s.book.saving = false
 	data, err := s.book.encode(s.now)
 	if err == nil {
 		err = replaceFile(s.sheet.Post.Memory, data)
 	}
-	if err != nil {
-		s.log.Error().Str("file", s.sheet.Post.Memory).Err(err).Msg("the list could not be saved")
-	}
+	s.book.unsaved = false
+	s.saved(err)
 }
 
 func replaceFile(name string, data []byte) error {
--- a/internal/sentry/inbox.go
+++ b/internal/sentry/inbox.go
@@ -40,6 +40,7 @@
 	evNews
 	evPeer
 	evComplaint
+	evSaved
 	evStop
 	evInspect
 )
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -9,7 +9,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +38,7 @@
 	record  func(*input.Input, *logic.Result)
 	breach  Breach
 	killed  atomic.Bool
+	writing sync.WaitGroup // of the list's file
 
 	// What follows belongs to the loop.
 	decide   func(*input.Input) logic.Result
@@ -212,6 +216,7 @@
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	for {
+		now := s.clock.now() // before taking: whatever was taken into the inbox by then is in the batch
 		batch = s.inbox.take(batch)
 		if s.killed.Load() {
 			return
@@ -223,7 +228,6 @@
 			giveBack(batch[i].buffer)
 			batch[i] = event{}
 		}
-		now := s.clock.now()
 		s.fire(now+1, now)
 		s.flush()
 		if s.stopping && s.unclosed == 0 {
@@ -362,8 +366,10 @@
 		}
 	case evClientGone:
 		e.client.gone = true
-		for _, t := range sortedOpen(e.client) {
-			s.clientLeft(t)
+		for _, id := range slices.Sorted(maps.Keys(e.client.open)) {
+			if t := e.client.open[id]; t != nil { // one that left may have closed another
+				s.clientLeft(t)
+			}
 		}
 	case evWorkerLost:
 		s.connLost(e.conn)
@@ -386,6 +392,8 @@
 	case evComplaint:
 		s.tell(input.Input{Kind: input.Complained, Complaint: logic.Complaint{
 			Profile: logic.ProfileID(e.profile), Worker: logic.WorkerID(e.key), Age: logic.Micros(e.left)}})
+	case evSaved:
+		s.saved(e.err)
 	case evStop:
 		if !s.stopping {
 			s.stopping = true
@@ -692,15 +700,14 @@
 
 // end closes everything, after what was answered has been written.
 func (s *Sentry) end() {
-	if s.killed.Load() {
-		return
-	}
-	s.flush()
-	s.inbox.close() // first: a poller that waited for room could not see to the writing
-	for i := 0; i < 500 && s.server.Waiting() > 0; i++ {
-		time.Sleep(2 * time.Millisecond)
+	if !s.killed.Load() {
+		s.flush()
+		s.inbox.close() // first: a poller that waited for room could not see to the writing
+		for i := 0; i < 500 && s.server.Waiting() > 0; i++ {
+			time.Sleep(2 * time.Millisecond)
+		}
+		s.saveLast()
 	}
-	s.save()
 	for _, c := range s.conns {
 		c.link.Close(wire.ErrClosed)
 	}
@@ -718,6 +725,5 @@
 func (s *Sentry) Kill() {
 	s.killed.Store(true)
 	s.inbox.close()
-	s.server.Close()
-	s.metrics.close()
+	<-s.done
 }
--- a/internal/sentry/upstream.go
+++ b/internal/sentry/upstream.go
@@ -158,11 +158,21 @@
 		kind = logic.ListWhole
 	}
 	list := s.book.take(m, s.now)
+	if refused := len(m.Lines) - len(list); refused > 0 {
+		s.metrics.faults.Add(float64(refused))
+		s.log.Warn().Int("lines", refused).
+			Msg("lines of the list passed over, expected an id and a size that is a finite number")
+	}
 	for _, in := range list {
 		s.known(in)
 	}
-	if m.Whole {
+	if m.Whole { // what it does not name is gone
 		s.metrics.lists.Inc()
+		for id, w := range s.workers {
+			if _, listed := s.book.at[id]; !listed && w.line.State != logic.Gone {
+				w.line.State, w.since = logic.Gone, s.now
+			}
+		}
 	}
 	s.tell(input.Input{Kind: input.ListCame, ListKind: kind, List: list})
 	s.saveSoon()
@@ -175,8 +185,8 @@
 		w = &worker{id: in.ID}
 		s.workers[in.ID] = w
 	}
-	if address := s.book.address(in.ID); address != "" {
-		w.address = address
+	if address := s.book.address(in.ID); address != "" && address != w.address {
+		w.address, w.conns = address, nil // those that are open lead elsewhere; they close when they are idle
 	}
 	if w.line.State != in.State {
 		w.since = s.now
@@ -187,16 +197,27 @@
 // The desk.
 
 func (s *Sentry) told(m *pb.News) {
-	n := logic.News{Valid: m.Valid, Build: logic.BuildID(m.Build), Stage: int(m.Stage),
-		Phase: logic.Phase(min(m.Phase, uint32(logic.Withdrawn))), Cap: min(max(m.Cap, 0), 1),
-		Age: logic.Micros(min(m.Age, 1<<50))}
+	if m.Valid && (!(m.Cap >= 0 && m.Cap <= 1) || m.Phase > uint32(logic.Withdrawn)) {
+		s.metrics.faults.Inc()
+		s.log.Warn().Float64("cap", m.Cap).Uint32("phase", m.Phase).
+			Msg("news passed over, expected a cap from 0 to 1 and a phase from 0 to 3")
+		return
+	}
+	n := logic.News{Valid: m.Valid, Build: logic.BuildID(m.Build), Stage: int(m.Stage), Phase: logic.Phase(m.Phase),
+		Cap: m.Cap, Age: logic.Micros(min(m.Age, 1<<50))}
 	if m.Vote != 0 {
 		if !s.votes[m.Vote] {
 			return // it was held for unanswered
 		}
 		delete(s.votes, m.Vote)
-		n.Fate = map[pb.News_Fate]logic.VoteFate{pb.News_STANDS: logic.VoteStands, pb.News_MOOT: logic.VoteMoot,
-			pb.News_REFUSED: logic.VoteRefused}[m.Fate]
+		switch m.Fate {
+		case pb.News_STANDS:
+			n.Fate = logic.VoteStands
+		case pb.News_MOOT:
+			n.Fate = logic.VoteMoot
+		default:
+			n.Fate = logic.VoteRefused
+		}
 	}
 	s.tell(input.Input{Kind: input.NewsCame, News: n})
 	if n.Valid {
--- a/internal/sentry/workers.go
+++ b/internal/sentry/workers.go
@@ -169,17 +169,22 @@
 	w.dials--
 	// Those that this connection was for have none; the rest wait for the other dials.
 	bound := w.dials * s.sheet.Bounds.HandOffsConnection
-	left := w.waiting[:0:0]
+	var left, over []waiting
 	for _, x := range w.waiting {
 		switch {
 		case !x.open():
 		case len(left) < bound:
 			left = append(left, x)
 		default:
-			defer s.handOffEnds(x.t, x.n, logic.Unconnected, -1)
+			over = append(over, x)
 		}
 	}
 	w.waiting = left
+	for _, x := range over {
+		if x.open() {
+			s.handOffEnds(x.t, x.n, logic.Unconnected, -1)
+		}
+	}
 }
 
 // sendWaiting writes what waits for a connection, as far as there is room.
@@ -377,13 +382,3 @@
 	}
 	s.timers.add(timer{due: s.now + wait, kind: timeSweep})
 }
-
-// sortedOpen lists what a client has open, in the order of its ids.
-func sortedOpen(c *client) []*transaction {
-	all := make([]*transaction, 0, len(c.open))
-	for _, t := range c.open {
-		all = append(all, t)
-	}
-	slices.SortFunc(all, func(a, b *transaction) int { return cmp.Compare(a.asked, b.asked) })
-	return all
-}
