--- a/internal/sentry/rig_test.go
+++ b/internal/sentry/rig_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -226,12 +227,16 @@
 	r.t.Fatalf("in 15 s not seen: %s\n%s", what, r.log.String())
 }
 
+func (r *rig) ends() []logic.HandOffEnd {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.endings)
+}
+
 func (r *rig) ended(e logic.Ending) bool { return r.count(e) > 0 }
 
 func (r *rig) count(e logic.Ending) (n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, x := range r.endings {
+	for _, x := range r.ends() {
 		if x.Ending == e {
 			n++
 		}
--- a/internal/sentry/sentry_test.go
+++ b/internal/sentry/sentry_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,7 +95,7 @@
 			}
 		})
 		if !r.ended(logic.Unsent) {
-			t.Errorf("endings %v", r.endings)
+			t.Errorf("endings %v", r.ends())
 		}
 	})
 }
@@ -129,8 +131,8 @@
 			want, outcome = logic.TimedOut, pb.Outcome_WRITTEN_OFF
 		}
 		c.want(1, outcome)
-		if len(r.endings) != 1 || r.endings[0].Ending != want {
-			t.Errorf("%d us after the time-out: endings %v, expected one, %v", after, r.endings, want)
+		if ends := r.ends(); len(ends) != 1 || ends[0].Ending != want {
+			t.Errorf("%d us after the time-out: endings %v, expected one, %v", after, ends, want)
 		}
 		c.none(30 * time.Millisecond)
 	}
@@ -241,7 +243,7 @@
 		}
 	}
 	if !r.ended(logic.TimedOut) || !r.ended(logic.Unconnected) {
-		t.Errorf("endings %v", r.endings)
+		t.Errorf("endings %v", r.ends())
 	}
 	r.worker("w2", good)
 	r.wait("an answer by the other worker", func() bool {
@@ -361,10 +363,13 @@
 		lines = append(lines, line(fmt.Sprint("old", i), address))
 	}
 	r.tell(lines...)
-	for _, x := range lines {
+	for _, x := range lines[:150] {
 		x.State = pb.Line_GONE
 	}
-	r.tell(lines...)
+	r.tell(lines[:150]...)
+	r.s.Inspect(func() { // the others are missing from a whole list
+		r.s.reported(&pb.Report{Whole: true, Version: 99, Lines: []*pb.Line{line("w", address)}})
+	})
 	r.wait("one worker known", func() (one bool) {
 		r.s.Inspect(func() { one = len(r.s.workers) == 1 && len(r.s.book.lives) == 1 })
 		return one
@@ -689,3 +694,76 @@
 		}
 	})
 }
+
+// An answer that came before the time-out is one, though the loop stood still until long after it.
+func TestAnswerDuringAStall(t *testing.T) {
+	r := newRig(t, rigPlan{})
+	works := make(chan func(), 1)
+	r.worker("w", func(l *wire.Link, m *wire.Work) {
+		work := wire.Work{ID: m.ID}
+		works <- func() { reply(l, &work, pb.Ended_ANSWERED) }
+	})
+	c := r.caller()
+	c.ask(1, 2) // given up after 400 ms
+	answer := <-works
+	r.s.Inspect(func() {
+		answer()
+		time.Sleep(600 * time.Millisecond)
+	})
+	c.want(1, pb.Outcome_SATISFIED)
+	r.s.Inspect(func() {}) // the loop has told the module by then
+	if ends := r.ends(); len(ends) != 1 || ends[0].Ending != logic.Answered {
+		t.Errorf("endings %v", ends)
+	}
+}
+
+// What is no number is passed over and said; the rest of the list and the desk's next news count.
+func TestFiguresThatAreNone(t *testing.T) {
+	r := newRig(t, rigPlan{})
+	address := r.worker("w", good).Address
+	bad := line("bad", address)
+	bad.Size = math.NaN()
+	r.tell(bad, line("", address), line("good", address))
+	r.s.Inspect(func() {
+		if r.s.workers["bad"] != nil || r.s.workers["good"] == nil || len(r.s.book.lines) != 2 {
+			t.Errorf("workers %v", r.s.workers)
+		}
+		before := r.s.book.news
+		for _, m := range []*pb.News{{Valid: true, Cap: math.NaN()}, {Valid: true, Cap: 1.5}, {Valid: true, Cap: -1}, {Valid: true, Phase: 4}} {
+			r.s.told(m)
+		}
+		if r.s.book.news != before {
+			t.Errorf("news taken: %+v", r.s.book.news)
+		}
+	})
+	if !r.logged("lines of the list passed over") || !r.logged("news passed over") {
+		t.Errorf("log: %s", r.log.String())
+	}
+}
+
+// A worker that answers elsewhere is reached there, though connections to its old place are open.
+func TestChangedAddress(t *testing.T) {
+	r := newRig(t, rigPlan{})
+	var old, moved atomic.Int32
+	r.worker("w", func(l *wire.Link, m *wire.Work) { old.Add(1); good(l, m) })
+	c := r.caller()
+	c.ask(1, 0)
+	c.want(1, pb.Outcome_SATISFIED)
+	elsewhere := r.worker("other", func(l *wire.Link, m *wire.Work) { moved.Add(1); good(l, m) })
+	gone := line("other", elsewhere.Address)
+	gone.State = pb.Line_GONE
+	r.tell(gone)
+	r.list.TellNow([]*pb.Line{line("w", elsewhere.Address)}, 0)
+	r.wait("the new address", func() (known bool) {
+		r.s.Inspect(func() { known = r.s.workers["w"].address == elsewhere.Address })
+		return known
+	})
+	before := old.Load()
+	for id := uint64(2); id < 12; id++ {
+		c.ask(id, 0)
+		c.want(id, pb.Outcome_SATISFIED)
+	}
+	if old.Load() != before || moved.Load() != 10 {
+		t.Errorf("%d went to the old place, %d to the new", old.Load()-before, moved.Load())
+	}
+}
