Auditor: what sentries are held to know of the list, and every account closed

Need: rule 3 and 4 counted only what a sentry was told; by the exact rule one that neither follows nor asks is held to know the list after a time. Guarded stages left out builds nobody was told of, and an unanswered try of a killed sentry was never counted. Change: the list's service records listings, calls and losses, and the auditor deems by them; a drill is good only if no try is unclosed. Links have one way to add a frame; dead fields are out; a worker's start holds no lock that the poller may wait for.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -31,6 +31,10 @@
 	WorkerDown             // a worker stopped
 	Fell                   // a cold worker was pushed over
 	ListTold               // a sentry was sent a line of the list
+	Listed                 // the list's service lists a worker so from now on
+	Followed               // a sentry follows the list from now on
+	Fetched                // a sentry asked for the whole list, and got it
+	AskFailed              // a call of a sentry for the list failed, or it follows it no longer
 	NewsTold               // a sentry was sent news of the newest build
 	SentryUp               // a sentry's process began
 	SentryDown             // a sentry's process was killed
@@ -39,7 +43,8 @@
 )
 
 var kindNames = [...]string{"asked", "answered", "not taken", "left", "got", "ran", "ended", "turned away", "dropped",
-	"worker up", "worker down", "fell", "list told", "news told", "sentry up", "sentry down", "stopped", "resumed"}
+	"worker up", "worker down", "fell", "list told",
+	"listed", "followed", "fetched", "ask failed", "news told", "sentry up", "sentry down", "stopped", "resumed"}
 
 func (k Kind) String() string { return kindNames[k] }
 
@@ -98,6 +103,7 @@
 	Answered int      `json:"answered"`
 	Left     int      `json:"left"`
 	NotTaken int      `json:"not_taken"`
+	Unclosed int      `json:"unclosed"` // tries with neither answer nor end on the client's side
 	HandOffs int      `json:"hand_offs"`
 	Ran      int      `json:"ran"`
 }
@@ -134,6 +140,13 @@
 
 type life struct{ from, to logic.Micros }
 
+// asking is how a sentry stands to the list from a time on.
+type asking struct {
+	at      logic.Micros
+	follows bool
+	within  logic.Micros // what was listed so long ago it is held to know, unless it follows
+}
+
 type auditor struct {
 	o       *logic.StandingOrders
 	slack   logic.Micros
@@ -145,7 +158,9 @@
 	lives   map[logic.SentryID][]life
 	stalls  map[logic.SentryID][]life
 	news    map[logic.SentryID][]Event
-	lists   map[logic.SentryID]map[logic.WorkerID][]Event
+	lists   map[logic.SentryID]map[logic.WorkerID][]Event // what each was told, or is held to know
+	listed  []Event
+	asks    map[logic.SentryID][]asking
 	finding Finding
 }
 
@@ -154,9 +169,10 @@
 	a := &auditor{o: o, slack: slack, events: slices.Clone(events), tries: map[string]*try{},
 		byWork: map[logic.WorkerID][]*handOff{}, lives: map[logic.SentryID][]life{},
 		stalls: map[logic.SentryID][]life{}, news: map[logic.SentryID][]Event{},
-		lists: map[logic.SentryID]map[logic.WorkerID][]Event{}}
+		lists: map[logic.SentryID]map[logic.WorkerID][]Event{}, asks: map[logic.SentryID][]asking{}}
 	slices.SortStableFunc(a.events, func(x, y Event) int { return cmp.Compare(x.At, y.At) })
 	a.gather()
+	a.deem()
 	for _, name := range a.names {
 		t := a.tries[name]
 		switch {
@@ -169,6 +185,9 @@
 		case t.asked == nil:
 			continue
 		}
+		if t.left == nil && t.notTaken == nil && len(t.answers) == 0 {
+			a.finding.Unclosed++
+		}
 		a.answer(t)
 		a.effect(t)
 	}
@@ -236,10 +255,17 @@
 				a.lists[e.Sentry] = m
 			}
 			m[e.Worker] = append(m[e.Worker], *e)
+		case Listed:
+			a.listed = append(a.listed, *e)
+		case Followed, Fetched:
+			a.asks[e.Sentry] = append(a.asks[e.Sentry], asking{e.At, e.Kind == Followed || a.follows(e.Sentry), a.o.AskWithin})
+		case AskFailed:
+			a.asks[e.Sentry] = append(a.asks[e.Sentry], asking{e.At, false, 4 * a.o.AskWithin})
 		case NewsTold:
 			a.news[e.Sentry] = append(a.news[e.Sentry], *e)
 		case SentryUp:
 			a.lives[e.Sentry] = append(a.lives[e.Sentry], life{e.At, never})
+			a.asks[e.Sentry] = append(a.asks[e.Sentry], asking{e.At, false, a.o.AskWithin})
 		case SentryDown:
 			if l := a.lives[e.Sentry]; len(l) > 0 {
 				l[len(l)-1].to = e.At
@@ -254,6 +280,49 @@
 	}
 }
 
+func (a *auditor) follows(s logic.SentryID) bool {
+	all := a.asks[s]
+	return len(all) > 0 && all[len(all)-1].follows
+}
+
+// deem adds what sentries are held to know of the list without having been told: one that follows nothing, and has not
+// asked for so long, knows what was listed that long ago.
+func (a *auditor) deem() {
+	if !a.o.AskForList {
+		return
+	}
+	for s := range logic.SentryID(a.o.Sentries) {
+		for _, e := range a.listed {
+			at := a.deemed(s, e.At)
+			if at == never {
+				continue
+			}
+			if a.lists[s] == nil {
+				a.lists[s] = map[logic.WorkerID][]Event{}
+			}
+			known := Event{At: at, Kind: ListTold, Sentry: s, Worker: e.Worker, State: e.State, Build: e.Build}
+			a.lists[s][e.Worker] = append(a.lists[s][e.Worker], known)
+		}
+		for _, told := range a.lists[s] {
+			slices.SortStableFunc(told, func(x, y Event) int { return cmp.Compare(x.At, y.At) })
+		}
+	}
+}
+
+// deemed is when a sentry is held to know what was listed at a time, never if it follows the list or asks in time.
+func (a *auditor) deemed(s logic.SentryID, listed logic.Micros) logic.Micros {
+	for i, x := range a.asks[s] {
+		until := never
+		if i+1 < len(a.asks[s]) {
+			until = a.asks[s][i+1].at
+		}
+		if at := max(listed, x.at) + x.within; !x.follows && until > listed && at < until {
+			return at
+		}
+	}
+	return never
+}
+
 // informed is when a sentry can have read what was sent to it: not while its process was stopped.
 func (a *auditor) informed(s logic.SentryID, sent logic.Micros) logic.Micros {
 	at := sent + a.slack
@@ -618,7 +687,9 @@
 	latest := a.newsAt(s, h.At)
 	before := a.newsAt(s, h.At-a.slack-a.o.DrainGrace)
 	guarded := func(e *Event) bool {
-		return e != nil && e.News.Build == h.Build && e.News.Phase == logic.OnTrial && e.News.Stage < a.o.GuardedStages
+		later := e != nil && e.News.Build < h.Build // one that nothing was told of is held to be in the first stage
+		return later && a.o.GuardedStages > 0 ||
+			e != nil && e.News.Build == h.Build && e.News.Phase == logic.OnTrial && e.News.Stage < a.o.GuardedStages
 	}
 	if a.o.Profiles[h.Profile].Repeat != logic.Redoable && guarded(latest) && guarded(before) {
 		a.breach(5, h.At, a.tries[h.Try], "sentry %d handed off what is not redoable to build %d at a guarded stage", s, h.Build)
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -11,7 +11,7 @@
 
 func rules() *logic.StandingOrders {
 	return &logic.StandingOrders{
-		Sentries: 2, AnswerGrace: 20 * ms, DrainGrace: 500 * ms, ConnectLimit: 50 * ms, FallMultiple: 4, FallSpan: 1000 * ms,
+		Sentries: 2, AskForList: true, AskWithin: 1000 * ms, AnswerGrace: 20 * ms, DrainGrace: 500 * ms, ConnectLimit: 50 * ms, FallMultiple: 4, FallSpan: 1000 * ms,
 		StageCaps: []float64{0.5, 1}, FreeExposure: 1, ExposureWindow: 1000 * ms, ForwardOnly: true, GuardedStages: 0,
 		Profiles: []logic.Profile{{Repeat: logic.Redoable}, {Repeat: logic.Labelled, Window: 300 * ms},
 			{Repeat: logic.Irreversible}, {Repeat: logic.Labelled, Scope: logic.ScopeZone, Window: 300 * ms}},
@@ -133,6 +133,21 @@
 		{"told to an earlier run of the sentry", 0, newDay().add(100, Event{Kind: ListTold, Worker: "w", State: logic.Gone}).
 			add(200, Event{Kind: SentryDown}).add(300, Event{Kind: SentryUp}).served(700, "a", 0)},
 
+		{"deemed to know of a drain, within the grace", 0, listing(newDay(), 100).served(100+1000+500, "a", 0)},
+		{"deemed to know of a drain, past the grace", 3, listing(newDay(), 100).served(100+1000+500+70, "a", 0)},
+		{"another asked", 3, listing(newDay(), 100).add(900, Event{Kind: Fetched, Sentry: 1}).served(1670, "a", 0)},
+		{"asked meanwhile, not told", 0, listing(newDay(), 100).add(900, Event{Kind: Fetched}).served(1900+500, "a", 0)},
+		{"asked meanwhile, not told, past that", 3, listing(newDay(), 100).add(900, Event{Kind: Fetched}).served(1900+570, "a", 0)},
+		{"follows the list, not told yet", 0, listing(newDay().add(50, Event{Kind: Followed}), 100).served(9000, "a", 0)},
+		{"fetches beside following", 0, listing(newDay().add(50, Event{Kind: Followed}).add(60, Event{Kind: Fetched}), 100).served(9000, "a", 0)},
+		{"followed and lost it", 3, listing(newDay().add(50, Event{Kind: Followed}), 100).add(200, Event{Kind: AskFailed}).
+			served(200+4000+570, "a", 0)},
+		{"followed and lost it, within four times", 0, listing(newDay().add(50, Event{Kind: Followed}), 100).
+			add(200, Event{Kind: AskFailed}).served(200+4000+500, "a", 0)},
+		{"listed ready again before it had to know", 0, listing(newDay(), 100).add(300, Event{Kind: Listed, Worker: "w"}).served(2000, "a", 0)},
+		{"deemed, but restarted since", 0, listing(newDay(), 100).add(900, Event{Kind: SentryDown}).add(1000, Event{Kind: SentryUp}).
+			served(1900, "a", 0)},
+
 		{"a cold worker pushed over", 4, pushed(1000, 0)},
 		{"a cold worker within its bound", 0, pushed(990, 0)},
 		{"a cold worker pushed over by one that was not told", 0, pushed(1000, 1)},
@@ -173,6 +188,11 @@
 	}
 }
 
+// listing has the list's service say that a worker drains, to nobody.
+func listing(d *day, at logic.Micros) *day {
+	return d.add(at, Event{Kind: Listed, Worker: "w", State: logic.Draining})
+}
+
 // keyed serves a key at the earlier build.
 func keyed(d *day, at logic.Micros, k logic.Key) *day {
 	d.ask(at, "back", 0).got(at+1, "back", 0, "w")
--- a/internal/drill/result.go
+++ b/internal/drill/result.go
@@ -76,7 +76,7 @@
 	out.Finding = audit.Check(o, out.SlackUs, events)
 	out.Rules = out.Finding.Rules()
 	f := &out.Finding
-	out.Closed = r.open() == 0
+	out.Closed = r.open() == 0 && out.Finding.Unclosed == 0
 	value, worth := 0.0, 0.0
 	for i, name := range d.Sheet.ProfileNames {
 		p := &o.Profiles[i]
--- a/internal/input/input.go
+++ b/internal/input/input.go
@@ -19,19 +19,8 @@
 	Complained
 	PeerSaid
 	Probed // tells the module nothing; it is kept for the record
-	kinds
 )
 
-var names = [kinds]string{"transaction", "hand-off ended", "client left", "woke", "list", "list refused", "news",
-	"complaint", "peer said", "probed"}
-
-func (k Kind) String() string {
-	if k < kinds {
-		return names[k]
-	}
-	return "unknown"
-}
-
 // Input is one thing that happened. Of the fields after Kind only those that belong to it count.
 type Input struct {
 	At          logic.Micros // never falls within a stream
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -171,9 +171,6 @@
 // Address is where the sentry listens.
 func (s *Sentry) Address() string { return s.server.Address }
 
-// MetricsAddress is where the metrics are served, empty if nowhere.
-func (s *Sentry) MetricsAddress() string { return s.metrics.address }
-
 // Stop has the sentry take nothing new, answer all that it holds, and end. Done is closed then.
 func (s *Sentry) Stop() {
 	s.server.StopListening()
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -33,22 +33,20 @@
 // Handler takes a frame. The body is good only during the call. An error closes the link with it as the reason.
 type Handler func(l *Link, kind Kind, body []byte) error
 
-// Link carries frames both ways over one connection. Put and Flush may be called from any goroutine; the handler
-// and the closed callback are not called at the same time as each other.
+// Link carries frames both ways over one connection. Put, Flush and Close may be called from any goroutine. The closed
+// callback is called once, by whoever closes it or on the poller; the handler may still be at work then.
 type Link struct {
-	conn    netpoll.Connection
-	handle  Handler
-	ended   func(*Link, error)
-	carry   []byte // a frame that has not come whole
-	most    int
-	Context any // the owner's
+	conn   netpoll.Connection
+	handle Handler
+	ended  func(*Link, error)
+	carry  []byte // a frame that has not come whole
+	most   int
 
 	mu       sync.Mutex
 	pending  []byte
 	spare    []byte
 	flushing bool
 	dead     bool
-	reason   error
 	once     sync.Once
 	flushFn  func()
 
@@ -132,61 +130,51 @@
 	}
 }
 
-// Put adds a frame to what waits to be written. False says that nothing of it will ever leave: the link has
-// closed or too much waits already.
-func (l *Link) Put(kind Kind, m Message) bool {
+// add has something appended to what waits to be written.
+func (l *Link) add(write func(to []byte) ([]byte, error)) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.dead || len(l.pending) > l.most {
 		return false
 	}
-	var at int
-	l.pending, at = begin(l.pending, kind)
-	l.pending = m.appendTo(l.pending)
-	finish(l.pending, at)
-	return true
+	to, err := write(l.pending)
+	if err == nil {
+		l.pending = to
+	}
+	return err == nil
+}
+
+// frame is add for a frame of a kind.
+func (l *Link) frame(kind Kind, message func(to []byte) ([]byte, error)) bool {
+	return l.add(func(to []byte) ([]byte, error) {
+		to, at := begin(to, kind)
+		to, err := message(to)
+		if err == nil {
+			finish(to, at)
+		}
+		return to, err
+	})
+}
+
+// Put adds a frame to what waits to be written. False says that nothing of it will ever leave: the link has
+// closed or too much waits already.
+func (l *Link) Put(kind Kind, m Message) bool {
+	return l.frame(kind, func(to []byte) ([]byte, error) { return m.appendTo(to), nil })
 }
 
 // PutProto is Put for generated messages.
 func (l *Link) PutProto(kind Kind, m proto.Message) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.dead || len(l.pending) > l.most {
-		return false
-	}
-	to, at := begin(l.pending, kind)
-	to, err := proto.MarshalOptions{}.MarshalAppend(to, m)
-	if err != nil {
-		return false
-	}
-	l.pending = to
-	finish(l.pending, at)
-	return true
+	return l.frame(kind, func(to []byte) ([]byte, error) { return proto.MarshalOptions{}.MarshalAppend(to, m) })
 }
 
 // PutFrame is Put for a message that is encoded already.
 func (l *Link) PutFrame(kind Kind, body []byte) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.dead || len(l.pending) > l.most {
-		return false
-	}
-	var at int
-	l.pending, at = begin(l.pending, kind)
-	l.pending = append(l.pending, body...)
-	finish(l.pending, at)
-	return true
+	return l.frame(kind, func(to []byte) ([]byte, error) { return append(to, body...), nil })
 }
 
 // PutRaw adds bytes that are frames already, or are meant to be none.
 func (l *Link) PutRaw(b []byte) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.dead || len(l.pending) > l.most {
-		return false
-	}
-	l.pending = append(l.pending, b...)
-	return true
+	return l.add(func(to []byte) ([]byte, error) { return append(to, b...), nil })
 }
 
 // Send is PutProto and Flush.
@@ -256,7 +244,7 @@
 func (l *Link) over(reason error) {
 	l.once.Do(func() {
 		l.mu.Lock()
-		l.dead, l.reason = true, reason
+		l.dead = true
 		l.mu.Unlock()
 		if l.ended != nil {
 			l.ended(l, reason)
--- a/standin/list.go
+++ b/standin/list.go
@@ -107,6 +107,8 @@
 			l.lines = append(l.lines, at)
 		}
 		at.line, at.started, at.version = line, started, l.version
+		l.stage.See(audit.Event{Kind: audit.Listed, Worker: logic.WorkerID(line.Id), Build: logic.BuildID(line.Build),
+			State: logic.WorkerState(line.State)})
 	}
 	for link, f := range l.follow {
 		if f.on {
@@ -134,15 +136,24 @@
 					return err
 				}
 				if l.Refuse {
+					l.stage.See(audit.Event{Kind: audit.AskFailed, Sentry: f.sentry})
 					link.Send(wire.KindReport, &pb.Report{Refused: true})
 					return nil
 				}
+				asked := audit.Event{Kind: audit.Fetched, Sentry: f.sentry}
+				if m.Follow {
+					asked.Kind = audit.Followed
+				}
+				l.stage.See(asked)
 				f.on, f.has = f.on || m.Follow, m.Version
 				l.send(link, f, !m.Follow || m.Version == 0)
 			}
 			return nil
 		}, func(link *wire.Link, _ error) {
 			l.mu.Lock()
+			if f.on {
+				l.stage.See(audit.Event{Kind: audit.AskFailed, Sentry: f.sentry})
+			}
 			delete(l.follow, link)
 			l.mu.Unlock()
 		}
--- a/standin/stage.go
+++ b/standin/stage.go
@@ -32,7 +32,6 @@
 	Speed     float64         // to that of the first build
 	Errors    float64         // share of hand-offs that it fails
 	Profile   logic.ProfileID // that it fails; -1 for all
-	Wrong     float64         // share of answers that are wrong
 	SlowAfter logic.Micros    // a worker of this age turns slow, 0 if never
 	SlowBy    float64
 	SlowsAll  float64 // how much slower all workers get by its part of the traffic
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -72,13 +72,15 @@
 // Start has it listen. A worker that has run before comes back cold, one whose start is given as old is warm.
 func (w *Worker) Start(warm bool) error {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	if w.up {
+		w.mu.Unlock()
 		return nil
 	}
+	w.life++
 	address := w.Address
+	w.mu.Unlock() // whoever asks whether it is up does not wait for the socket
+	var err error
 	if address == "" {
-		var err error
 		if address, err = FreeAddress(); err != nil {
 			return err
 		}
@@ -91,16 +93,15 @@
 	if err != nil {
 		return err
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.server, w.Address, w.up, w.drain, w.fell = server, server.Address, true, false, false
-	w.life++
 	w.busy, w.queue, w.recent, w.running = 0, nil, nil, map[*job]struct{}{}
 	w.started = w.stage.Now()
-	if warm {
-		w.started -= w.Cold
-	}
 	e := audit.Event{Kind: audit.WorkerUp, Worker: w.Line.ID, Build: w.Line.Build, Speed: w.Speed * float64(w.Cores),
 		From: w.From, Warm: w.Cold}
 	if warm {
+		w.started -= w.Cold
 		e.Warm = 0
 	}
 	w.stage.See(e)
@@ -153,7 +154,9 @@
 var errDeaf = errors.New("reads nothing")
 
 func (w *Worker) accept(l *wire.Link) (wire.Handler, func(*wire.Link, error)) {
+	w.mu.Lock()
 	life, from := w.life, logic.SentryID(-1)
+	w.mu.Unlock()
 	return func(l *wire.Link, kind wire.Kind, body []byte) error {
 			w.mu.Lock()
 			deaf, welcome, noProbes := w.Deaf, w.Welcome, w.NoProbes
@@ -168,7 +171,6 @@
 					return err
 				}
 				from = logic.SentryID(m.Position)
-				l.Context = from
 				time.AfterFunc(welcome, func() { l.Send(wire.KindWelcome, &pb.Welcome{Version: wire.Version}) })
 			case wire.KindWork:
 				var m wire.Work
