--- a/cmd/scalechute/measure.go
+++ b/cmd/scalechute/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -14,25 +15,25 @@
 func measureCommand() *cobra.Command {
 	c := &cobra.Command{Use: "measure", Short: "Measure a sentry beside a bare relay on this machine"}
 	plan := measure.Plan{Workers: 32}
-	prepare := func() (func(), error) {
-		self, err := os.Executable()
-		if err != nil {
-			return nil, err
+	// prepared gives a measurement the program to run and a directory of its own.
+	prepared := func(measure func(io.Writer) error) func(*cobra.Command, []string) error {
+		return func(c *cobra.Command, _ []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			plan.Program = program(self)
+			if plan.Dir, err = os.MkdirTemp("", "measure-"); err != nil {
+				return err
+			}
+			defer os.RemoveAll(plan.Dir)
+			return measure(c.OutOrStdout())
 		}
-		plan.Program = program(self)
-		plan.Dir, err = os.MkdirTemp("", "measure-")
-		return func() { os.RemoveAll(plan.Dir) }, err
 	}
 	rounds := 3
 	relay := &cobra.Command{
 		Use: "relay", Short: "Throughput, allocations and added latency, beside the relay, turn about", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			clean, err := prepare()
-			if err != nil {
-				return err
-			}
-			defer clean()
-			w := c.OutOrStdout()
+		RunE: prepared(func(w io.Writer) error {
 			plan.Clients, plan.Window = 16, 4
 			ratio, most := 0.0, 0.0
 			for range rounds {
@@ -64,25 +65,20 @@
 				fmt.Fprintf(w, "added at half load: p50 %v, p99 %v\n", s.P50-r.P50, s.P99-r.P99)
 			}
 			return nil
-		},
+		}),
 	}
 	relay.Flags().IntVar(&rounds, "rounds", 3, "how often each is measured")
 	relay.Flags().StringVar(&plan.Profile, "profile", "", "file for a processor profile of the first sentry")
 	crowd := &cobra.Command{
 		Use: "crowd", Short: "One sentry with many client connections", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			clean, err := prepare()
-			if err != nil {
-				return err
-			}
-			defer clean()
+		RunE: prepared(func(w io.Writer) error {
 			s, err := measure.Sentry(plan)
 			if err != nil {
 				return err
 			}
-			measure.Print(c.OutOrStdout(), s)
+			measure.Print(w, s)
 			return nil
-		},
+		}),
 	}
 	crowd.Flags().IntVar(&plan.Clients, "clients", 10_000, "client connections")
 	crowd.Flags().Float64Var(&plan.Rate, "rate", 2_000, "transactions a second")
--- a/drills/short-day.hcl
+++ b/drills/short-day.hcl
@@ -108,6 +108,16 @@
   repeat      = "irreversible"
 }
 
+account "north" {
+  share = 0.6
+  quota = 1000
+}
+
+account "south" {
+  share = 0.4
+  quota = 1000
+}
+
 allowed {
   hand_offs     = 3
   copies        = false
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -62,15 +62,7 @@
 		return nil, err
 	}
 	r := &runner{d: d, p: p, reach: map[string]string{}, peers: &standin.Weather{}}
-	r.stage = standin.NewStage(&d.Sheet.Standing, d.Sheet.Zones, d.Seed)
-	for range d.Sheet.Zones {
-		row := make([]*standin.Weather, len(d.Sheet.Zones))
-		for j := range row {
-			row[j] = &standin.Weather{}
-		}
-		r.weather = append(r.weather, row)
-	}
-	r.calm()
+	r.prepare()
 	defer r.close()
 	if err := r.set(); err != nil {
 		return nil, err
@@ -82,6 +74,20 @@
 	return r.result()
 }
 
+// prepare makes the stage and the links between zones.
+func (r *runner) prepare() {
+	d := r.d
+	r.stage = standin.NewStage(&d.Sheet.Standing, d.Sheet.Zones, d.Seed)
+	for range d.Sheet.Zones {
+		row := make([]*standin.Weather, len(d.Sheet.Zones))
+		for j := range row {
+			row[j] = &standin.Weather{}
+		}
+		r.weather = append(r.weather, row)
+	}
+	r.calm()
+}
+
 // calm has every link carry what it usually does.
 func (r *runner) calm() {
 	for i, row := range r.weather {
@@ -93,11 +99,11 @@
 	}
 }
 
-// set brings everything up.
-func (r *runner) set() error {
+// services brings up the list, the desk and the fleet.
+func (r *runner) services() error {
 	d := r.d
 	r.list = standin.NewList(r.stage)
-	r.list.Late, r.list.Reach = span(d.Fleet.ListLate), r.reached
+	r.list.Reach = r.reached
 	r.fleet = newFleet(d, r.stage, r.list)
 	r.desk = standin.NewDesk(r.stage, r.fleet, firstBuild)
 	r.desk.Late = span(d.Fleet.NewsLate)
@@ -105,14 +111,20 @@
 		return err
 	}
 	r.fleet.mu.Lock()
-	for i, at := range r.fleet.places {
-		s := r.fleet.start(at, i, firstBuild, true)
-		late := r.list.Late
-		r.list.Late = 0
-		r.list.Tell(s.w, logic.Ready)
-		r.list.Late = late
-	}
-	r.fleet.mu.Unlock()
+	defer r.fleet.mu.Unlock()
+	for i, at := range r.fleet.places { // these are listed at once
+		r.list.Tell(r.fleet.start(at, i, firstBuild, true).w, logic.Ready)
+	}
+	r.list.Set(func(l *standin.List) { l.Late = span(d.Fleet.ListLate) })
+	return nil
+}
+
+// set brings everything up.
+func (r *runner) set() error {
+	d := r.d
+	if err := r.services(); err != nil {
+		return err
+	}
 	time.Sleep(50 * time.Millisecond)
 	for i := range d.Sheet.Standing.Sentries {
 		listen, err := standin.FreeAddress()
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -168,11 +168,7 @@
 		lines = append(lines, &pb.Line{Id: fmt.Sprint("w", i), Address: s.Address, Build: 10, Zone: "z", Size: 1, Life: 1})
 	}
 	list.TellNow(lines, 0)
-	listen, err := standin.FreeAddress()
-	if err != nil {
-		return nil, err
-	}
-	metrics, err := standin.FreeAddress()
+	listen, metrics, err := addresses()
 	if err != nil {
 		return nil, err
 	}
@@ -195,11 +191,7 @@
 		return nil, err
 	}
 	defer closeAll(servers)
-	listen, err := standin.FreeAddress()
-	if err != nil {
-		return nil, err
-	}
-	metrics, err := standin.FreeAddress()
+	listen, metrics, err := addresses()
 	if err != nil {
 		return nil, err
 	}
@@ -210,6 +202,14 @@
 	return p.run("relay", listen, metrics, args)
 }
 
+// addresses are where what is measured listens and serves its metrics.
+func addresses() (listen, metrics string, err error) {
+	if listen, err = standin.FreeAddress(); err == nil {
+		metrics, err = standin.FreeAddress()
+	}
+	return listen, metrics, err
+}
+
 func closeAll(servers []*wire.Server) {
 	for _, s := range servers {
 		s.Close()
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -28,6 +28,12 @@
 	}
 }
 
+// Now tells it: the delay, and whether nothing passes.
+func (w *Weather) Now() (time.Duration, bool) {
+	delay, cut := w.now()
+	return delay, cut != nil
+}
+
 func (w *Weather) now() (time.Duration, chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
