--- a/cmd/scalechute/drill_test.go
+++ b/cmd/scalechute/drill_test.go
@@ -80,6 +80,9 @@
 		t.Run(word, func(t *testing.T) {
 			t.Parallel()
 			r := run(t, load(t, "breach.hcl"), word)
+			if word == "cold" && r.Fallen == 0 {
+				t.Errorf("no worker was pushed over\n%s", show(r))
+			}
 			if !slices.Equal(r.Rules, []int{i + 1}) {
 				t.Errorf("rules %v broken, expected %d\n%s", r.Rules, i+1, show(r))
 			}
