--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -123,10 +123,9 @@
 
 type handOff struct {
 	Event
-	end     logic.Micros // 0 if none was seen
-	turned  bool
-	dropped bool
-	good    bool
+	end    logic.Micros // 0 if none was seen
+	turned bool
+	good   bool
 }
 
 type try struct {
@@ -135,7 +134,6 @@
 	left     *Event
 	notTaken *Event
 	handOffs []*handOff
-	ran      int
 }
 
 type life struct{ from, to logic.Micros }
@@ -242,11 +240,10 @@
 			a.all = append(a.all, h)
 			f.HandOffs++
 		case Ran:
-			a.try(e.Try).ran++
 			f.Ran++
 		case Ended, Turned, Dropped:
 			if h := out[ref{e.Worker, e.HandOff}]; h != nil && h.end == 0 {
-				h.end, h.turned, h.dropped, h.good = e.At, e.Kind == Turned, e.Kind == Dropped, e.Good
+				h.end, h.turned, h.good = e.At, e.Kind == Turned, e.Good
 			}
 		case ListTold:
 			m := a.lists[e.Sentry]
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -144,12 +144,8 @@
 		w := s.w
 		f.list.Tell(w, logic.Draining)
 		grace := span(f.d.Fleet.ListLate + o.DrainGrace)
-		outer := logic.Micros(0)
-		for _, p := range o.Profiles {
-			outer = max(outer, p.OuterLimit)
-		}
 		time.AfterFunc(grace, w.Drain)
-		time.AfterFunc(grace+span(outer)+time.Second, func() {
+		time.AfterFunc(grace+span(f.d.Sheet.OuterLimit())+time.Second, func() {
 			f.list.Tell(w, logic.Gone)
 			w.Stop()
 		})
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -289,10 +289,7 @@
 		c.Stop()
 	}
 	r.restart.Wait()
-	longest := logic.Micros(0)
-	for _, p := range r.d.Sheet.Standing.Profiles {
-		longest = max(longest, p.OuterLimit)
-	}
+	longest := r.d.Sheet.OuterLimit()
 	// What is open closes by its limit; a client waits half as long again for an answer that is late.
 	for end := time.Now().Add(span(longest)*3/2 + time.Second); time.Now().Before(end) && r.open() > 0; {
 		time.Sleep(20 * time.Millisecond)
--- a/internal/match/table.go
+++ b/internal/match/table.go
@@ -97,16 +97,6 @@
 	return -1
 }
 
-// Scan is First by trying each route in turn, for comparison.
-func (t *Table) Scan(r *Record) int {
-	for i, p := range t.when {
-		if p.holds(r) {
-			return i
-		}
-	}
-	return -1
-}
-
 // AppendKey adds the key that a route makes of a record.
 func (t *Table) AppendKey(route int, to []byte, r *Record) []byte {
 	if k := t.keys[route]; k != nil {
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -21,6 +21,14 @@
 	Bounds       Bounds
 }
 
+// OuterLimit is that of the profile with the longest: nothing is open any longer.
+func (s *Sheet) OuterLimit() (longest logic.Micros) {
+	for _, p := range s.Standing.Profiles {
+		longest = max(longest, p.OuterLimit)
+	}
+	return longest
+}
+
 // Post is where one sentry stands.
 type Post struct {
 	Listen  string
--- a/internal/sentry/workers.go
+++ b/internal/sentry/workers.go
@@ -73,8 +73,8 @@
 	if !s.send(w, t, n) {
 		w.waiting = append(w.waiting, waiting{t, t.gen, n})
 		s.dial(w)
+		s.alarm(t)
 	}
-	s.alarm(t)
 }
 
 // send writes a hand-off to the first connection that has room.
@@ -360,10 +360,7 @@
 	if s.orders.IdleClose > 0 {
 		s.closeIdle()
 	}
-	outer := logic.Micros(0)
-	for _, p := range s.orders.Profiles {
-		outer = max(outer, p.OuterLimit)
-	}
+	outer := s.sheet.OuterLimit()
 	for id, w := range s.workers {
 		if w.line.State == logic.Gone && len(w.conns)+len(w.waiting)+w.dials == 0 && s.now-w.since > 2*outer {
 			delete(s.workers, id)
