--- a/internal/match/check.go
+++ b/internal/match/check.go
@@ -61,6 +61,8 @@
 	cost  int64   // the most steps that it can take
 	most  int     // the most bytes of a text
 	where int64   // id in the source
+	name  string  // opAttribute
+	named string  // the named expression that it is, empty if none
 }
 
 // Checker checks expressions over one schema.
@@ -70,6 +72,7 @@
 	types  map[string]*Type
 	units  map[string]unit
 	limit  int64
+	named  map[string]*definition
 }
 
 type unit struct {
@@ -79,7 +82,8 @@
 
 // NewChecker makes one. No expression may cost more than the limit, in steps.
 func NewChecker(s *Schema, limit int64) (*Checker, error) {
-	c := &Checker{schema: s, types: map[string]*Type{}, units: map[string]unit{}, limit: limit}
+	c := &Checker{schema: s, types: map[string]*Type{}, units: map[string]unit{}, limit: limit,
+		named: map[string]*definition{}}
 	a := cel.TypeParamType("A")
 	both := func(t *cel.Type) []*cel.Type { return []*cel.Type{t, t} }
 	fn := func(name string, overloads ...cel.FunctionOpt) cel.EnvOption { return cel.Function(name, overloads...) }
@@ -162,8 +166,8 @@
 	return cel.OpaqueType(t.Name)
 }
 
-// check parses and checks a text, and says what it gives: a flag (nil type) or a text.
-func (c *Checker) check(text string) (*node, error) {
+// parse parses and checks a text by cel-go.
+func (c *Checker) parse(text string) (*cel.Ast, error) {
 	if !utf8.ValidString(text) || strings.ContainsRune(text, 0) {
 		return nil, &Fault{1, 1, "found NUL or bytes that are no UTF-8, expected text"}
 	}
@@ -172,24 +176,42 @@
 		e := issues.Errors()[0]
 		return nil, &Fault{max(1, e.Location.Line()), max(1, e.Location.Column()+1), c.explain(e.Message)}
 	}
+	return checked, nil
+}
+
+// check makes the tree of a text.
+func (c *Checker) check(text string) (*node, error) {
+	checked, err := c.parse(text)
+	if err != nil {
+		return nil, err
+	}
 	b := &builder{c: c, tree: checked.NativeRep(), elements: map[string]element{}}
 	n, err := b.build(b.tree.Expr(), 0)
 	if err != nil {
 		return nil, err
 	}
-	if n.cost > c.limit {
-		worst := n
-		for next := n; next != nil; { // down the part that costs most
-			worst, next = next, nil
-			for _, a := range worst.args {
-				if a.cost > c.limit/2 && (next == nil || a.cost > next.cost) {
-					next = a
-				}
+	return n, b.bounded(n)
+}
+
+// bounded refuses what costs too much and names the part that costs most.
+func (b *builder) bounded(n *node) error {
+	if n.cost <= b.c.limit {
+		return nil
+	}
+	worst := n
+	for next := n; next != nil; { // down the part that costs most, not into named ones: they stand elsewhere
+		worst, next = next, nil
+		for _, a := range worst.args {
+			if worst.named == "" && a.cost > b.c.limit/2 && (next == nil || a.cost > next.cost) {
+				next = a
 			}
 		}
-		return nil, b.fault(worst.where, "found a cost of %d steps, most of it here, expected at most %d", n.cost, c.limit)
 	}
-	return n, nil
+	what := "here"
+	if worst.named != "" {
+		what = "in " + worst.named
+	}
+	return b.fault(worst.where, "found a cost of %d steps, most of it %s, expected at most %d", n.cost, what, b.c.limit)
 }
 
 // explain adds to cel-go's word what would fit.
@@ -272,8 +294,16 @@
 		n.op, n.at, n.of, n.most = opElement, x.depth, x.of, x.of.Most
 		return n, nil
 	}
+	if d, is := b.c.named[name]; is {
+		if d.faults[depth] != nil {
+			return nil, b.fault(n.where, "%s: %s", name, d.faults[depth].(*Fault).Text)
+		}
+		use := *d.at[depth]
+		use.where, use.named = n.where, name
+		return &use, nil
+	}
 	if at, is := b.c.schema.at[name]; is {
-		n.op, n.at, n.of = opAttribute, at, b.c.schema.Attributes[at].Type
+		n.op, n.at, n.of, n.name = opAttribute, at, b.c.schema.Attributes[at].Type, name
 		n.most = n.of.Most
 		return n, nil
 	}
@@ -305,6 +335,9 @@
 	if step.AsCall().FunctionName() == operators.LogicalAnd {
 		n.op = opAll
 	}
+	if b.c.taken(x.IterVar()) {
+		return nil, b.fault(n.where, "found %s for an element, which is declared, expected another name", x.IterVar())
+	}
 	hidden, shadows := b.elements[x.IterVar()]
 	b.elements[x.IterVar()] = element{depth, list.of.Of}
 	body, err := b.build(step.AsCall().Args()[1], depth+1)
--- a/internal/match/match_test.go
+++ b/internal/match/match_test.go
@@ -31,6 +31,38 @@
 	return s
 }
 
+// carried is a Go value as a sender gives it.
+func carried(v any) Carried {
+	switch x := v.(type) {
+	case string:
+		return Carried{Kind: Text, Text: x}
+	case int64:
+		return Carried{Kind: Whole, Num: x}
+	case float64:
+		return Carried{Kind: Measure, Fig: x}
+	case bool:
+		if x {
+			return Carried{Kind: Flag, Num: 1}
+		}
+		return Carried{Kind: Flag}
+	case time.Duration:
+		return Carried{Kind: Span, Num: x.Microseconds()}
+	}
+	list := Carried{Kind: List}
+	for _, e := range v.([]any) {
+		list.Items = append(list.Items, carried(e))
+	}
+	return list
+}
+
+func set(s *Schema, r *Record, attribute string, v any) error {
+	at, x := s.At([]byte(attribute)), carried(v)
+	if at < 0 {
+		return fmt.Errorf("%s is not declared", attribute)
+	}
+	return s.Put(r, at, &x)
+}
+
 func checker(t testing.TB, limit int64) (*Schema, *Checker) {
 	s := schema(t)
 	c, err := NewChecker(s, limit)
@@ -45,7 +77,7 @@
 	r := s.NewRecord()
 	for name, v := range map[string]any{"depot": "kingston", "class": "reefer", "temp": 8.0, "id": "drop-17", "size": int64(12),
 		"urgent": true, "age": 90 * time.Second, "temps": []any{2.0, 3.5, 9.0}, "stops": []any{"kingston", "may_pen"}, "tags": []any{"a", "b"}} {
-		if err := s.Set(r, name, v); err != nil {
+		if err := set(s, r, name, v); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -130,6 +162,13 @@
 	}
 }
 
+func make21() (all []any) {
+	for range 21 {
+		all = append(all, "a")
+	}
+	return all
+}
+
 // What does not fit is left missing and said; nothing else of the record is lost.
 func TestHostileRecords(t *testing.T) {
 	s, c := checker(t, 1000)
@@ -138,20 +177,32 @@
 		t.Fatal(err)
 	}
 	r := s.NewRecord()
-	if err := s.Set(r, "urgent", true); err != nil {
+	if err := set(s, r, "urgent", true); err != nil {
 		t.Fatal(err)
 	}
 	for i := range 10_000 {
-		if s.Set(r, fmt.Sprint("a", i), "x") == nil {
+		if set(s, r, fmt.Sprint("a", i), "x") == nil {
 			t.Fatal("an attribute that nobody declared is taken")
 		}
 	}
 	for name, v := range map[string]any{"id": strings.Repeat("x", 10<<20), "temp": math.NaN(), "load": math.Inf(1), "size": "12",
-		"depot": "moon", "kind": int64(3), "temps": make([]any, 21), "stops": []any{"kingston", 3}, "age": int64(5), "class": nil} {
-		if err := s.Set(r, name, v); err == nil || len(err.Error()) > 200 {
+		"depot": "moon", "kind": int64(3), "temps": []any{"x"}, "stops": []any{"kingston", int64(3)}, "age": int64(5), "class": false, "tags": make21()} {
+		if err := set(s, r, name, v); err == nil || len(err.Error()) > 200 {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
+	for _, bad := range []struct {
+		attribute string
+		v         Carried
+	}{{"temp", Carried{Kind: Measure, Fig: 3, Unit: "kelvin"}}, {"load", Carried{Kind: Measure, Fig: 1e308, Unit: "tonne"}},
+		{"stops", Carried{Kind: List, Items: []Carried{{Kind: List}}}}} {
+		if err := s.Put(r, s.At([]byte(bad.attribute)), &bad.v); err == nil {
+			t.Errorf("taken: %+v", bad)
+		}
+	}
+	if s.Absent(r) != s.At([]byte("depot")) {
+		t.Error("an attribute that must be there is missing, and nothing says so")
+	}
 	if !p.Holds(r) {
 		t.Error("what was missing made a comparison true")
 	}
@@ -192,7 +243,7 @@
 		if rapid.IntRange(0, 3).Draw(t, "missing") == 0 {
 			continue
 		}
-		if err := s.Set(r, a.Name, drawn(t, a.Type)); err != nil {
+		if err := set(s, r, a.Name, drawn(t, a.Type)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -272,7 +323,7 @@
 	}
 	r := s.NewRecord()
 	for name, v := range map[string]any{"depot": "kingston", "class": "reefer", "temp": 8.0, "id": "drop-17", "size": int64(12)} {
-		if err := s.Set(r, name, v); err != nil {
+		if err := set(s, r, name, v); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/match/schema.go
+++ b/internal/match/schema.go
@@ -12,6 +12,8 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -36,6 +38,8 @@
 	Units []Unit   // of a measure, the first is what values are kept in
 	Most  int      // greatest length: bytes of a text, elements of a list
 	Of    *Type    // elements of a list; no list itself
+
+	place map[string]int64 // of a set's members
 }
 
 // Unit is a word for a figure: value x scale + offset is in the first unit.
@@ -48,13 +52,14 @@
 type Attribute struct {
 	Name       string
 	Type       *Type
-	MayMissing bool
+	MayMissing bool // if not, a transaction without it is not judged
 }
 
 // Schema is the attributes that expressions may name, by their place.
 type Schema struct {
 	Attributes []Attribute
 	at         map[string]int
+	must       []int // those that may not be missing
 }
 
 // Bounds on schemas.
@@ -80,6 +85,9 @@
 			return nil, fmt.Errorf("attribute %s stands twice", a.Name)
 		}
 		s.at[a.Name] = i
+		if !a.MayMissing {
+			s.must = append(s.must, i)
+		}
 		if err := a.Type.check(named, true); err != nil {
 			return nil, fmt.Errorf("attribute %s: %w", a.Name, err)
 		}
@@ -106,10 +114,12 @@
 		if len(t.Names) == 0 || len(t.Names) > mostMembers {
 			return fmt.Errorf("set %s has %d members, expected 1 to %d", t.Name, len(t.Names), mostMembers)
 		}
+		t.place = make(map[string]int64, len(t.Names))
 		for i, n := range t.Names {
-			if !name(n) || slices.Contains(t.Names[:i], n) {
+			if _, twice := t.place[n]; !name(n) || twice {
 				return fmt.Errorf("set %s: member %q, expected a name of letters, digits and _ once", t.Name, n)
 			}
+			t.place[n] = int64(i)
 		}
 	case Measure:
 		if len(t.Units) == 0 {
@@ -159,72 +169,171 @@
 // Clear forgets all values.
 func (r *Record) Clear() { clear(r.values) }
 
-// Set takes a value from outside: a string, an int64, a float64 (of a measure, in its first unit), a bool, a
-// time.Duration, or a []any of these. What does not fit its type is left missing, and an error says why.
-func (s *Schema) Set(r *Record, attribute string, v any) error {
-	at, known := s.at[attribute]
-	if !known {
-		return fmt.Errorf("found attribute %.64q, expected one that is declared", attribute)
+// Carried is a value as it comes from outside, in whatever form its sender gave it.
+type Carried struct {
+	Kind  Kind      // Text, Whole, Flag, Span, Measure or List
+	Num   int64     // Whole; Flag: 0 or 1; Span: microseconds
+	Fig   float64   // Measure
+	Text  string    // Text; a set's member comes as one
+	Unit  string    // of a Measure, empty: the first
+	Items []Carried // List
+}
+
+// At is an attribute's place, -1 if it is not declared.
+func (s *Schema) At(name []byte) int {
+	if at, known := s.at[string(name)]; known {
+		return at
 	}
-	r.values[at] = Value{}
-	value, err := s.Attributes[at].Type.value(v)
-	if err != nil {
-		return fmt.Errorf("%s: %w", attribute, err)
+	return -1
+}
+
+// Put gives a record a value. What does not fit its type is left missing, and an error says why. The record keeps the
+// texts as they are, without a copy.
+func (s *Schema) Put(r *Record, at int, v *Carried) error {
+	t, slot := s.Attributes[at].Type, &r.values[at]
+	list := slot.List[:0]
+	*slot = Value{}
+	if t.Kind != List || v.Kind != List {
+		value, err := t.value(v)
+		if err != nil {
+			return fmt.Errorf("%s: %w", s.Attributes[at].Name, err)
+		}
+		*slot = value
+		return nil
+	}
+	if len(v.Items) > t.Most {
+		return fmt.Errorf("%s: found %d elements, expected at most %d", s.Attributes[at].Name, len(v.Items), t.Most)
+	}
+	for i := range v.Items {
+		value, err := t.Of.value(&v.Items[i])
+		if err != nil {
+			return fmt.Errorf("%s, element %d: %w", s.Attributes[at].Name, i, err)
+		}
+		list = append(list, value)
 	}
-	r.values[at] = value
+	*slot = Value{Given: true, List: list}
 	return nil
 }
 
-func (t *Type) value(v any) (Value, error) {
-	out := Value{Given: true}
-	switch x := v.(type) {
-	case string:
-		switch {
-		case t.Kind == Text && len(x) <= t.Most:
-			out.Text = x
-			return out, nil
-		case t.Kind == Text:
-			return Value{}, fmt.Errorf("found %d bytes, expected at most %d", len(x), t.Most)
-		case t.Kind == Set:
-			if i := slices.Index(t.Names, x); i >= 0 {
-				out.Num = int64(i)
-				return out, nil
-			}
-			return Value{}, fmt.Errorf("found %.64q, expected a member of %s", x, t.Name)
-		}
-	case int64:
-		if out.Num = x; t.Kind == Whole {
-			return out, nil
+// Absent is the first attribute that must be there and is not, -1 if there is none.
+func (s *Schema) Absent(r *Record) int {
+	for _, at := range s.must {
+		if !r.values[at].Given {
+			return at
 		}
-	case float64:
-		if out.Fig = x; t.Kind == Measure && !math.IsNaN(x) && !math.IsInf(x, 0) {
-			return out, nil
+	}
+	return -1
+}
+
+func (t *Type) value(v *Carried) (Value, error) {
+	out := Value{Given: true}
+	switch {
+	case t.Kind == Text && v.Kind == Text && len(v.Text) <= t.Most:
+		out.Text = v.Text
+		return out, nil
+	case t.Kind == Text && v.Kind == Text:
+		return Value{}, fmt.Errorf("found %d bytes, expected at most %d", len(v.Text), t.Most)
+	case t.Kind == Set && v.Kind == Text:
+		place, is := t.place[v.Text]
+		if !is {
+			return Value{}, fmt.Errorf("found %.64q, expected a member of %s", v.Text, t.Name)
 		}
-	case bool:
-		if x {
-			out.Num = 1
+		out.Num = place
+		return out, nil
+	case t.Kind == v.Kind && (t.Kind == Whole || t.Kind == Span):
+		out.Num = v.Num
+		return out, nil
+	case t.Kind == Flag && v.Kind == Flag:
+		out.Num = min(1, max(0, v.Num))
+		return out, nil
+	case t.Kind == Measure && (v.Kind == Measure || v.Kind == Whole):
+		figure, u := v.Fig, t.Units[0]
+		if v.Kind == Whole {
+			figure = float64(v.Num)
 		}
-		if t.Kind == Flag {
-			return out, nil
+		if v.Unit != "" {
+			at := slices.IndexFunc(t.Units, func(u Unit) bool { return u.Name == v.Unit })
+			if at < 0 {
+				return Value{}, fmt.Errorf("found a figure in %.64q, expected a unit of %s", v.Unit, t.Name)
+			}
+			u = t.Units[at]
 		}
-	case time.Duration:
-		if out.Num = x.Microseconds(); t.Kind == Span {
+		if out.Fig = figure*u.Scale + u.Offset; !math.IsNaN(out.Fig) && !math.IsInf(out.Fig, 0) {
 			return out, nil
 		}
-	case []any:
-		if t.Kind != List || len(x) > t.Most {
-			break
+		return Value{}, fmt.Errorf("found %g, expected a finite figure", out.Fig)
+	}
+	return Value{}, fmt.Errorf("found %s, expected %v", kindNames[v.Kind], t)
+}
+
+var kindNames = [...]string{Text: "a text", Whole: "a whole number", Flag: "a flag", Span: "a span", Measure: "a figure",
+	Set: "a member", List: "a list"}
+
+// Parse reads a value as a person writes it: 12, true, 250ms, 8 celsius, a member's name, a text as it is, the elements
+// of a list with commas between.
+func (t *Type) Parse(text string) (v Carried, err error) {
+	switch t.Kind {
+	case Text, Set:
+		return Carried{Kind: Text, Text: text}, nil
+	case Whole:
+		v.Kind = Whole
+		v.Num, err = strconv.ParseInt(text, 10, 64)
+	case Flag:
+		v.Kind = Flag
+		if text == "true" {
+			v.Num = 1
+		} else if text != "false" {
+			err = strconv.ErrSyntax
 		}
-		for _, e := range x {
-			value, err := t.Of.value(e)
+	case Span:
+		var d time.Duration
+		d, err = time.ParseDuration(text)
+		v.Kind, v.Num = Span, d.Microseconds()
+	case Measure:
+		figure, unit, _ := strings.Cut(text, " ")
+		v.Kind, v.Unit = Measure, unit
+		v.Fig, err = strconv.ParseFloat(figure, 64)
+	case List:
+		v.Kind = List
+		for part := range strings.SplitSeq(text, ",") {
+			item, err := t.Of.Parse(strings.TrimSpace(part))
 			if err != nil {
-				return Value{}, err
+				return v, err
 			}
-			out.List = append(out.List, value)
+			v.Items = append(v.Items, item)
 		}
-		return out, nil
 	}
-	return Value{}, fmt.Errorf("found a %T that does not fit, expected %s", v, t)
+	if err != nil {
+		return v, fmt.Errorf("found %.64q, expected %v", text, t)
+	}
+	return v, nil
+}
+
+// show writes a value as the language does.
+func (t *Type) show(v *Value) string {
+	switch t.Kind {
+	case Text:
+		return strconv.Quote(v.Text)
+	case Flag:
+		return strconv.FormatBool(v.Num != 0)
+	case Span:
+		return strconv.Quote((time.Duration(v.Num) * time.Microsecond).String())
+	case Measure:
+		figure := strconv.FormatFloat(v.Fig, 'g', -1, 64)
+		if len(t.Units) == 0 { // a literal without a unit
+			return figure
+		}
+		return t.Units[0].Name + "(" + figure + ")"
+	case Set:
+		return t.Name + "." + t.Names[v.Num]
+	case List:
+		var all []string
+		for i := range v.List {
+			all = append(all, t.Of.show(&v.List[i]))
+		}
+		return "[" + strings.Join(all, ", ") + "]"
+	}
+	return strconv.FormatInt(v.Num, 10)
 }
 
 // String is how an operator would say it.
--- a/internal/match/table.go
+++ b/internal/match/table.go
@@ -22,6 +22,7 @@
 
 // Table is routes in order, compiled and indexed: its answer is always that of the first that matches.
 type Table struct {
+	Schema  *Schema
 	Routes  []Route
 	Covered []Cover // routes that no transaction can reach
 	when    []*Predicate
@@ -36,52 +37,57 @@
 
 // RouteFault is a fault of one route.
 type RouteFault struct {
-	Route int
-	Name  string
-	Of    string // "when" or "key"
-	Err   error
+	Name string
+	Of   string // "when" or "key"
+	Err  *Fault
 }
 
 func (f *RouteFault) Error() string { return fmt.Sprintf("route %s, %s: %v", f.Name, f.Of, f.Err) }
 
-// NewTable compiles and indexes routes. All faults come back, each route's own.
-func NewTable(c *Checker, routes []Route) (*Table, []error) {
-	t := &Table{Routes: routes, words: (len(routes) + 63) / 64}
-	var faults []error
-	for i, r := range routes {
-		p, err := c.Predicate(r.When)
-		if err != nil {
-			faults = append(faults, &RouteFault{i, r.Name, "when", err})
-			continue
-		}
-		var k *Key
-		if r.Key != "" {
-			if k, err = c.Key(r.Key); err != nil {
-				faults = append(faults, &RouteFault{i, r.Name, "key", err})
-				continue
-			}
+// Compiled is a route that was checked by itself.
+type Compiled struct {
+	route Route
+	when  *Predicate
+	key   *Key
+	parts []*node
+}
+
+// Compile checks and compiles a route. Several may be compiled at the same time; most of a load's time goes here.
+func (c *Checker) Compile(r Route) (*Compiled, error) {
+	when, err := c.Predicate(r.When)
+	if err != nil {
+		return nil, &RouteFault{r.Name, "when", err.(*Fault)}
+	}
+	x := &Compiled{route: r, when: when, parts: flat(when.tree, opAnd, nil)}
+	if r.Key != "" {
+		if x.key, err = c.Key(r.Key); err != nil {
+			return nil, &RouteFault{r.Name, "key", err.(*Fault)}
 		}
-		t.when, t.keys, t.atoms = append(t.when, p), append(t.keys, k), append(t.atoms, flat(p.tree, opAnd, nil))
 	}
-	if len(faults) > 0 {
-		return nil, faults
-	}
-	t.index(c.schema)
+	return x, nil
+}
+
+// NewTable indexes routes that were compiled by one checker, in their order.
+func NewTable(c *Checker, routes []*Compiled) *Table {
+	t := &Table{Schema: c.schema, words: (len(routes) + 63) / 64}
+	for _, x := range routes {
+		t.Routes = append(t.Routes, x.route)
+		t.when, t.keys, t.atoms = append(t.when, x.when), append(t.keys, x.key), append(t.atoms, x.parts)
+	}
+	t.index()
 	t.cover()
-	return t, nil
+	return t
 }
 
 // First is the first route that matches, -1 if none does.
 func (t *Table) First(r *Record) int {
 	var rows [mostDimensions][]uint64
-	n := 0
 	for i := range t.dims {
-		rows[n] = t.dims[i].row(&r.values[t.dims[i].at])
-		n++
+		rows[i] = t.dims[i].row(&r.values[t.dims[i].at])
 	}
 	for w := range t.words {
 		word := ^uint64(0)
-		for _, row := range rows[:n] {
+		for _, row := range rows[:len(t.dims)] {
 			word &= row[w]
 		}
 		for ; word != 0; word &= word - 1 {
@@ -126,6 +132,7 @@
 	at      int
 	way     way
 	kind    Kind
+	routes  int       // that it is said in
 	bounds  []float64 // byRange, rising
 	rows    [][]uint64
 	missing []uint64
@@ -226,7 +233,7 @@
 	return nil
 }
 
-func (t *Table) index(s *Schema) {
+func (t *Table) index() {
 	type view struct {
 		at  int
 		way way
@@ -249,7 +256,7 @@
 		return cmp.Or(cmp.Compare(said[b], said[a]), cmp.Compare(a.at, b.at), cmp.Compare(a.way, b.way))
 	})
 	for _, v := range views[:min(len(views), mostDimensions)] {
-		d := dimension{at: v.at, way: v.way, kind: s.Attributes[v.at].Type.Kind}
+		d := dimension{at: v.at, way: v.way, kind: t.Schema.Attributes[v.at].Type.Kind, routes: said[v]}
 		if v.way == byRange {
 			var all []float64
 			for i := range atoms {
@@ -347,7 +354,7 @@
 	}
 	for i := range t.when {
 		for _, n := range t.atoms[i] {
-			text := n.String()
+			text := n.text(false)
 			if number[text] == 0 {
 				number[text] = len(number) + 1
 			}
@@ -449,19 +456,3 @@
 	}
 	return m
 }
-
-// String tells nodes apart that mean different things.
-func (n *node) String() string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%d/%d", n.op, n.at)
-	if n.op == opConst {
-		fmt.Fprintf(&b, "=%d,%x,%q,%s", n.value.Num, math.Float64bits(n.value.Fig), n.value.Text, n.of.Name)
-	}
-	for _, v := range n.set {
-		fmt.Fprintf(&b, "|%d,%x,%q", v.Num, math.Float64bits(v.Fig), v.Text)
-	}
-	for _, a := range n.args {
-		b.WriteString("(" + a.String() + ")")
-	}
-	return b.String()
-}
--- a/internal/match/table_test.go
+++ b/internal/match/table_test.go
@@ -23,12 +23,12 @@
 			}
 			routes = append(routes, Route{Name: fmt.Sprint(i), When: strings.Join(parts, " && "), Key: "id"})
 		}
-		table, faults := NewTable(c, routes)
+		tab, faults := table(c, routes)
 		if len(faults) > 0 {
 			t.Fatal(faults)
 		}
 		covered := map[int]bool{}
-		for _, x := range table.Covered {
+		for _, x := range tab.Covered {
 			if covered[x.Route] = true; x.By >= x.Route {
 				t.Fatalf("%+v", x)
 			}
@@ -36,19 +36,35 @@
 		for range 8 {
 			draw(t, s, r)
 			want := -1
-			for i, p := range table.when {
+			for i, p := range tab.when {
 				if holds, _ := p.Interpret(r); holds {
 					want = i
 					break
 				}
 			}
-			if got := table.First(r); got != want || covered[got] {
+			if got := tab.First(r); got != want || covered[got] {
 				t.Fatalf("route %d, by the reference %d, covered %v, of %+v\n%v", got, want, covered[got], r.values, routes)
 			}
 		}
 	})
 }
 
+func table(c *Checker, routes []Route) (*Table, []error) {
+	var all []*Compiled
+	var faults []error
+	for _, r := range routes {
+		x, err := c.Compile(r)
+		if err != nil {
+			faults = append(faults, err)
+		}
+		all = append(all, x)
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return NewTable(c, all), nil
+}
+
 func TestCovers(t *testing.T) {
 	_, c := checker(t, 10_000)
 	for _, x := range []struct {
@@ -63,12 +79,12 @@
 		{`home == site.kingston`, `depot == site.kingston`, false}, {`age < span("1m")`, `age < span("10s")`, true}, {`!urgent`, `urgent`, false},
 		{`size > 9007199254740993`, `size > 9007199254740992`, false},
 	} {
-		table, faults := NewTable(c, []Route{{Name: "a", When: x.first}, {Name: "b", When: x.second}})
-		if len(faults) > 0 || (len(table.Covered) == 1) != x.covers {
-			t.Errorf("%s, then %s: covered %v, expected %v %v", x.first, x.second, table.Covered, x.covers, faults)
+		tab, faults := table(c, []Route{{Name: "a", When: x.first}, {Name: "b", When: x.second}})
+		if len(faults) > 0 || (len(tab.Covered) == 1) != x.covers {
+			t.Errorf("%s, then %s: covered %v, expected %v %v", x.first, x.second, tab.Covered, x.covers, faults)
 		}
 	}
-	_, faults := NewTable(c, []Route{{Name: "a", When: "urgnt"}, {Name: "b", When: "urgent", Key: "size"}, {Name: "c", When: "urgent"}})
+	_, faults := table(c, []Route{{Name: "a", When: "urgnt"}, {Name: "b", When: "urgent", Key: "size"}, {Name: "c", When: "urgent"}})
 	if len(faults) != 2 || !strings.Contains(faults[0].Error(), "route a, when: 1:1: undeclared reference to 'urgnt'") ||
 		!strings.Contains(faults[1].Error(), "route b, key: 1:1: found a whole number, expected a text") {
 		t.Errorf("%v", faults)
@@ -96,11 +112,11 @@
 		routes = append(routes, Route{Name: fmt.Sprint(i), When: fmt.Sprintf("depot == site.s%d && kind == \"k%d\" && size >= %d && temp < celsius(%d)",
 			i%200, i/200%25, i/5000*10, 5+i%7)})
 	}
-	table, faults := NewTable(c, routes)
+	tab, faults := table(c, routes)
 	if len(faults) > 0 {
 		tb.Fatal(faults[0])
 	}
-	return s, table
+	return s, tab
 }
 
 func records(tb testing.TB, s *Schema) (all []*Record) {
@@ -109,7 +125,7 @@
 		r := s.NewRecord()
 		for name, v := range map[string]any{"depot": fmt.Sprint("s", chance.Intn(200)), "class": "van", "kind": fmt.Sprint("k", chance.Intn(25)),
 			"size": int64(chance.Intn(20)), "temp": float64(chance.Intn(10)), "urgent": true, "id": "drop-1"} {
-			if err := s.Set(r, name, v); err != nil {
+			if err := set(s, r, name, v); err != nil {
 				tb.Fatal(err)
 			}
 		}
