Wire: transactions may carry attributes, and are told when no route takes them

A transaction that carries attributes only needs a form on the wire, and an end when no route takes it that is not taken for lack of room.

Ask has attributes, texts, figures with their unit and lists, read in the frame without copies; the outcome NO_ROUTE; answers name the profile, for complaints. The hand-written codec writes the bytes of the schema.

--- a/internal/wire/hot.go
+++ b/internal/wire/hot.go
@@ -19,6 +19,8 @@
 	Again   bool
 	Mark    []byte
 	Payload []byte
+
+	Attributes []byte // pb.Attributes, nil if there are none
 }
 
 // Answer is pb.Answer.
@@ -28,6 +30,7 @@
 	ComeBack uint64
 	Payload  []byte
 	Worker   []byte
+	Profile  uint32
 }
 
 // Work is pb.Work.
@@ -80,7 +83,11 @@
 	b = number(b, 6, m.Hint)
 	b = number(b, 7, protowire.EncodeBool(m.Again))
 	b = bytesField(b, 8, m.Mark)
-	return bytesField(b, 9, m.Payload)
+	b = bytesField(b, 9, m.Payload)
+	if m.Attributes != nil { // that there are none is said too
+		b = protowire.AppendBytes(protowire.AppendTag(b, 10, protowire.BytesType), m.Attributes)
+	}
+	return b
 }
 
 func (m *Answer) appendTo(b []byte) []byte {
@@ -88,7 +95,8 @@
 	b = number(b, 2, uint64(m.Outcome))
 	b = number(b, 3, m.ComeBack)
 	b = bytesField(b, 4, m.Payload)
-	return bytesField(b, 5, m.Worker)
+	b = bytesField(b, 5, m.Worker)
+	return number(b, 6, uint64(m.Profile))
 }
 
 func (m *Work) appendTo(b []byte) []byte {
@@ -173,6 +181,8 @@
 			m.Mark = v
 		case 9:
 			m.Payload = v
+		case 10:
+			m.Attributes = v
 		}
 	})
 }
@@ -188,6 +198,8 @@
 			m.Outcome = uint32(v)
 		case 3:
 			m.ComeBack = v
+		case 6:
+			m.Profile = uint32(v)
 		}
 	}, func(f protowire.Number, v []byte) {
 		switch f {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"scalechute/internal/match"
 	"scalechute/internal/wire/pb"
 )
 
@@ -19,12 +20,22 @@
 		data := rapid.SliceOfN(rapid.Byte(), 0, 40)
 		n64, n32 := rapid.Uint64(), rapid.Uint32()
 		ask := Ask{n64.Draw(t, "id"), n32.Draw(t, "p"), n32.Draw(t, "a"), data.Draw(t, "k"), n64.Draw(t, "l"), n64.Draw(t, "h"),
-			rapid.Bool().Draw(t, "again"), data.Draw(t, "m"), data.Draw(t, "pl")}
-		same(t, &ask, &pb.Ask{Id: ask.ID, Profile: ask.Profile, Account: ask.Account, Key: ask.Key, Left: ask.Left,
+			rapid.Bool().Draw(t, "again"), data.Draw(t, "m"), data.Draw(t, "pl"), nil}
+		var carried *pb.Attributes
+		if rapid.Bool().Draw(t, "attributes") {
+			ask.Attributes, carried = []byte{}, &pb.Attributes{}
+			for range rapid.IntRange(0, 4).Draw(t, "n") {
+				name, v := rapid.StringMatching("[a-z]{0,9}").Draw(t, "name"), drawCarried(t, true)
+				ask.Attributes = AppendAttribute(ask.Attributes, name, &v)
+				carried.All = append(carried.All, generated(name, &v))
+			}
+			readBack(t, ask.Attributes, carried)
+		}
+		same(t, &ask, &pb.Ask{Attributes: carried, Id: ask.ID, Profile: ask.Profile, Account: ask.Account, Key: ask.Key, Left: ask.Left,
 			Hint: ask.Hint, Again: ask.Again, Mark: ask.Mark, Payload: ask.Payload}, &Ask{}, (*Ask).Read)
-		answer := Answer{n64.Draw(t, "id"), uint32(rapid.IntRange(0, 3).Draw(t, "o")), n64.Draw(t, "c"), data.Draw(t, "p"), data.Draw(t, "w")}
+		answer := Answer{n64.Draw(t, "id"), uint32(rapid.IntRange(0, 4).Draw(t, "o")), n64.Draw(t, "c"), data.Draw(t, "p"), data.Draw(t, "w"), n32.Draw(t, "profile")}
 		same(t, &answer, &pb.Answer{Id: answer.ID, Outcome: pb.Outcome(answer.Outcome), ComeBack: answer.ComeBack,
-			Payload: answer.Payload, Worker: answer.Worker}, &Answer{}, (*Answer).Read)
+			Payload: answer.Payload, Worker: answer.Worker, Profile: answer.Profile}, &Answer{}, (*Answer).Read)
 		work := Work{n64.Draw(t, "id"), n32.Draw(t, "p"), data.Draw(t, "k"), n64.Draw(t, "l"), data.Draw(t, "m"), data.Draw(t, "pl"),
 			data.Draw(t, "t"), n32.Draw(t, "n"), n64.Draw(t, "h")}
 		same(t, &work, &pb.Work{Id: work.ID, Profile: work.Profile, Key: work.Key, Left: work.Left, Mark: work.Mark,
@@ -34,6 +45,85 @@
 	})
 }
 
+func drawCarried(t *rapid.T, lists bool) (v match.Carried) {
+	kinds := []match.Kind{match.Text, match.Whole, match.Measure, match.Flag, match.Span}
+	if lists {
+		kinds = append(kinds, match.List)
+	}
+	v.Kind = rapid.SampledFrom(kinds).Draw(t, "kind")
+	switch v.Kind {
+	case match.Text:
+		v.Text = rapid.String().Draw(t, "text")
+	case match.Whole, match.Span:
+		v.Num = rapid.Int64().Draw(t, "number")
+	case match.Flag:
+		v.Num = int64(rapid.IntRange(0, 1).Draw(t, "flag"))
+	case match.Measure:
+		v.Fig, v.Unit = rapid.Float64().Draw(t, "figure"), rapid.SampledFrom([]string{"", "kg"}).Draw(t, "unit")
+	case match.List:
+		for range rapid.IntRange(0, 3).Draw(t, "items") {
+			v.Items = append(v.Items, drawCarried(t, false))
+		}
+	}
+	return v
+}
+
+func generated(name string, v *match.Carried) *pb.Attribute {
+	a := &pb.Attribute{Name: name, Unit: v.Unit}
+	switch v.Kind {
+	case match.Text:
+		a.Value = &pb.Attribute_Text{Text: []byte(v.Text)}
+	case match.Whole:
+		a.Value = &pb.Attribute_Whole{Whole: v.Num}
+	case match.Span:
+		a.Value = &pb.Attribute_Span{Span: v.Num}
+	case match.Flag:
+		a.Value = &pb.Attribute_Flag{Flag: v.Num == 1}
+	case match.Measure:
+		a.Value = &pb.Attribute_Figure{Figure: v.Fig}
+	case match.List:
+		list := &pb.Attributes{}
+		for i := range v.Items {
+			list.All = append(list.All, generated("", &v.Items[i]))
+		}
+		a.Value = &pb.Attribute_List{List: list}
+	}
+	return a
+}
+
+// readBack holds what the reader gives against what was written.
+func readBack(t *rapid.T, body []byte, written *pb.Attributes) {
+	var r AttributeReader
+	n := 0
+	err := r.Read(body, func(name []byte, v *match.Carried) {
+		if want := written.All[n]; !proto.Equal(generated(string(name), v), want) {
+			t.Fatalf("read %s %+v, wrote %v", name, v, want)
+		}
+		n++
+	})
+	if err != nil || n != len(written.All) {
+		t.Fatalf("%d of %d read, %v", n, len(written.All), err)
+	}
+}
+
+// Whatever bytes come, the reader ends, gives no more elements than it keeps, and agrees with the schema on what is
+// no message.
+func FuzzAttributes(f *testing.F) {
+	f.Add(AppendAttribute(nil, "a", &match.Carried{Kind: match.List, Items: []match.Carried{{Kind: match.Measure, Fig: 1, Unit: "kg"}}}))
+	f.Add([]byte{10, 4, 58, 2, 10, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r AttributeReader
+		err := r.Read(data, func(_ []byte, v *match.Carried) {
+			if len(v.Items) > mostItems {
+				t.Errorf("%d elements", len(v.Items))
+			}
+		})
+		if good := proto.Unmarshal(data, &pb.Attributes{}) == nil; good && err != nil {
+			t.Errorf("the schema reads %x, the reader says %v", data, err)
+		}
+	})
+}
+
 func same[M any, P interface {
 	*M
 	Message
