Routes: matching blocks read from the sentry's file, and the match commands

An operator writes the words of the trade, named expressions, routes and cases into the sentry's file, and wants to know what is wrong, where, and what a transaction would meet.

--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -31,7 +31,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(sentryCommand(), checkCommand(), drillCommand(), measureCommand())
+	c.AddCommand(sentryCommand(), checkCommand(), drillCommand(), matchCommand(), measureCommand())
 	return c
 }
 
@@ -117,9 +117,14 @@
 					fmt.Fprintln(c.ErrOrStderr(), err)
 					continue
 				}
-				fmt.Fprintf(c.OutOrStdout(), "%s: good; sentry %d of %d, %d profiles, %d accounts, %d zones\n", name,
+				fmt.Fprintf(c.OutOrStdout(), "%s: good; sentry %d of %d, %d profiles, %d accounts, %d zones, %s\n", name,
 					sheet.Standing.Position, sheet.Standing.Sentries, len(sheet.ProfileNames), len(sheet.AccountNames),
-					len(sheet.Zones))
+					len(sheet.Zones), sheet.Routes.Summary())
+				if sheet.Routes != nil {
+					for _, n := range sheet.Routes.Notes {
+						fmt.Fprintln(c.OutOrStdout(), n)
+					}
+				}
 			}
 			if bad > 0 {
 				return fmt.Errorf("%d of %d files have faults", bad, len(files))
--- a/internal/drill/file.go
+++ b/internal/drill/file.go
@@ -19,6 +19,9 @@
 	"fast_errors", "handshake_slow", "hot_caller", "hot_key", "neighbour", "one_sided", "peer_down", "probe_fail",
 	"shift", "slow", "slow_link", "zone_cut"}
 
+// Blocks names those of a drill's file that are no sentry's orders.
+var Blocks = []string{"drill", "fleet", "load", "release", "trouble"}
+
 // Day is what a drill's file says.
 type Day struct {
 	Name     string
--- a/internal/hclread/read.go
+++ b/internal/hclread/read.go
@@ -9,10 +9,12 @@
 	"sort"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 	"github.com/zclconf/go-cty/cty"
+	"github.com/zclconf/go-cty/cty/convert"
 	"github.com/zclconf/go-cty/cty/gocty"
 
 	"scalechute/logic"
@@ -111,6 +113,53 @@
 	b.fault(at, name+": "+format, args...)
 }
 
+// FaultIn books a fault at a place within one of the block's texts, by line and column from 1 as the text has them.
+func (b *Body) FaultIn(name string, line, column int, format string, args ...any) {
+	a, ok := b.body.Attributes[name]
+	if !ok {
+		b.FaultAt(name, format, args...)
+		return
+	}
+	at := a.Expr.Range()
+	source := string(b.file.Source[at.Start.Byte:at.End.Byte])
+	text, _ := a.Expr.Value(nil)
+	switch {
+	case strings.HasPrefix(source, "<<") && text.Type() == cty.String: // what differs from the file is the indentation
+		lines, own := strings.Split(source, "\n"), strings.Split(text.AsString(), "\n")
+		if line < len(lines) && line <= len(own) {
+			at.Start.Line += line
+			at.Start.Column = column + max(0, len(lines[line])-len(own[line-1]))
+		}
+	case strings.HasPrefix(source, "\""):
+		at.Start.Column += 1 + len([]rune(source[1:][:escaped(source[1:], line, column)]))
+	}
+	b.fault(at, name+": "+format, args...)
+}
+
+// escaped finds where a place of a quoted text is in its source.
+func escaped(source string, line, column int) (i int) {
+	for l, c := 1, 1; i < len(source) && (l < line || l == line && c < column); c++ {
+		_, size := utf8.DecodeRuneInString(source[i:])
+		switch rest := source[i:]; {
+		case strings.HasPrefix(rest, `\u`):
+			size = 6
+		case strings.HasPrefix(rest, `\U`):
+			size = 10
+		case strings.HasPrefix(rest, `\n`):
+			l, c, size = l+1, 0, 2
+		case strings.HasPrefix(rest, `\`):
+			size = 2
+		case strings.HasPrefix(rest, "$${"), strings.HasPrefix(rest, "%%{"):
+			size, c = 3, c+1
+		}
+		i += size
+	}
+	return min(i, len(source))
+}
+
+// Place is where the block stands.
+func (b *Body) Place() string { return fmt.Sprintf("%s:%d", b.file.Name, b.at.Start.Line) }
+
 // Source is the block as it stands in the file.
 func (b *Body) Source() []byte {
 	r := b.body.Range()
@@ -304,6 +353,44 @@
 	return all
 }
 
+// Pair is an entry of an object: a plain value as a person would write it, or several.
+type Pair struct {
+	Name   string
+	Values []string
+	List   bool
+}
+
+// Pairs is an object of plain values and lists of them, by their names.
+func (b *Body) Pairs(name string, must bool) (all []Pair) {
+	const want = "an object of texts, numbers, flags and lists of them"
+	v, at, ok := b.value(name, must, want)
+	if !ok {
+		return nil
+	}
+	if !v.Type().IsObjectType() {
+		b.fault(at, "%s: found %s, expected %s", name, show(v), want)
+		return nil
+	}
+	for key, x := range v.AsValueMap() {
+		p := Pair{Name: key, List: x.Type().IsTupleType()}
+		parts := []cty.Value{x}
+		if p.List {
+			parts = x.AsValueSlice()
+		}
+		for _, part := range parts {
+			text, err := convert.Convert(part, cty.String)
+			if err != nil || text.IsNull() {
+				b.fault(at, "%s: found %s as %s, expected %s", name, show(part), key, want)
+				continue
+			}
+			p.Values = append(p.Values, text.AsString())
+		}
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b Pair) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
 func (b *Body) list(name string, must bool, want string) (all []cty.Value) {
 	v, at, ok := b.value(name, must, want)
 	if !ok {
@@ -316,6 +403,12 @@
 	return v.AsValueSlice()
 }
 
+// Pass has blocks of a kind count as known, whatever is in them.
+func (b *Body) Pass(kind string) { b.seen["block "+kind] = true }
+
+// Faults counts those of the file so far.
+func (b *Body) Faults() int { return len(*b.file.faults) }
+
 // Done books a fault for each name of the block that nobody asked for.
 func (b *Body) Done() {
 	for name, a := range b.body.Attributes {
--- a/internal/match/define.go
+++ b/internal/match/define.go
@@ -102,6 +102,14 @@
 	return faults
 }
 
+// Cost is what a named expression takes at the most, in steps; 0 for one that has a fault.
+func (c *Checker) Cost(name string) int64 {
+	if d := c.named[name]; d != nil {
+		return d.at[0].cost
+	}
+	return 0
+}
+
 // names are those that a text mentions, elements of its loops and members of sets left out. A text that does not parse
 // mentions none: its check says what is wrong with it.
 func (c *Checker) names(text string) (found []string) {
--- a/internal/match/explain.go
+++ b/internal/match/explain.go
@@ -67,7 +67,7 @@
 		before = len(t.when)
 	}
 	for i := range before {
-		for _, part := range t.atoms[i] {
+		for _, part := range t.compiled[i].parts {
 			if truth(part)(r) {
 				continue
 			}
@@ -98,12 +98,7 @@
 }
 
 // Cost is what a route's parts take at the most, in steps, and the most bytes of its key.
-func (t *Table) Cost(route int) (when, key int64, bytes int) {
-	if k := t.keys[route]; k != nil {
-		key, bytes = k.Cost, k.Most
-	}
-	return t.when[route].Cost, key, bytes
-}
+func (t *Table) Cost(route int) (when, key int64, bytes int) { return t.compiled[route].Cost() }
 
 // Shape is one dimension of a table's index.
 type Shape struct {
--- a/internal/match/table.go
+++ b/internal/match/table.go
@@ -26,10 +26,10 @@
 	Routes  []Route
 	Covered []Cover // routes that no transaction can reach
 	when    []*Predicate
-	keys    []*Key
-	atoms   [][]*node
 	dims    []dimension
 	words   int
+
+	compiled []*Compiled
 }
 
 // Cover is a route that an earlier one covers.
@@ -67,12 +67,19 @@
 	return x, nil
 }
 
+// Cost is what its parts take at the most, in steps, and the most bytes of its key.
+func (x *Compiled) Cost() (when, key int64, bytes int) {
+	if x.key != nil {
+		key, bytes = x.key.Cost, x.key.Most
+	}
+	return x.when.Cost, key, bytes
+}
+
 // NewTable indexes routes that were compiled by one checker, in their order.
 func NewTable(c *Checker, routes []*Compiled) *Table {
 	t := &Table{Schema: c.schema, words: (len(routes) + 63) / 64}
 	for _, x := range routes {
-		t.Routes = append(t.Routes, x.route)
-		t.when, t.keys, t.atoms = append(t.when, x.when), append(t.keys, x.key), append(t.atoms, x.parts)
+		t.Routes, t.compiled, t.when = append(t.Routes, x.route), append(t.compiled, x), append(t.when, x.when)
 	}
 	t.index()
 	t.cover()
@@ -105,7 +112,7 @@
 
 // AppendKey adds the key that a route makes of a record.
 func (t *Table) AppendKey(route int, to []byte, r *Record) []byte {
-	if k := t.keys[route]; k != nil {
+	if k := t.compiled[route].key; k != nil {
 		return k.Append(to, r)
 	}
 	return to
@@ -241,7 +248,7 @@
 	said := map[view]int{}
 	atoms := make([][]atom, len(t.when))
 	for i := range t.when {
-		for _, part := range t.atoms[i] {
+		for _, part := range t.compiled[i].parts {
 			atoms[i] = append(atoms[i], atomsOf(part)...)
 		}
 		for _, a := range atoms[i] {
@@ -353,7 +360,7 @@
 		return value{p.atoms[0].at, v.Num, v.Text}, true
 	}
 	for i := range t.when {
-		for _, n := range t.atoms[i] {
+		for _, n := range t.compiled[i].parts {
 			text := n.text(false)
 			if number[text] == 0 {
 				number[text] = len(number) + 1
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"scalechute/internal/hclread"
+	"scalechute/internal/routes"
 	"scalechute/logic"
 )
 
@@ -19,6 +20,7 @@
 	Zones        []string
 	Post         Post
 	Bounds       Bounds
+	Routes       *routes.Book // nil if transactions say themselves what they are
 }
 
 // OuterLimit is that of the profile with the longest: nothing is open any longer.
@@ -79,7 +81,8 @@
 }
 
 // SharedBlocks names the blocks that all sentries of a deployment have in common.
-var SharedBlocks = []string{"deployment", "profile", "account", "allowed", "list", "rules", "trial", "prices", "bounds"}
+var SharedBlocks = []string{"deployment", "profile", "account", "allowed", "list", "rules", "trial", "prices", "bounds",
+	"matching", "set", "measure", "attribute", "let", "route", "case"}
 
 const (
 	ms   = time.Millisecond
@@ -123,6 +126,7 @@
 		Unwritten:          b.Whole("unwritten_bytes", false, 1<<20, 4096, 256<<20),
 	}
 	b.Done()
+	s.Routes = routes.Read(root, s.ProfileNames, s.AccountNames)
 	return s
 }
 
@@ -277,14 +281,13 @@
 	return text
 }
 
+// labels are how many a kind of block has, if any.
+var labels = map[string]int{"profile": 1, "account": 1, "set": 1, "measure": 1, "attribute": 1, "let": 1, "route": 1, "case": 1}
+
 // SharedSource is the blocks that Shared reads, as they stand in the file.
 func SharedSource(root *hclread.Body) (source []byte) {
 	for _, kind := range SharedBlocks {
-		labels := 0
-		if kind == "profile" || kind == "account" {
-			labels = 1
-		}
-		for _, b := range root.Blocks(kind, labels) {
+		for _, b := range root.Blocks(kind, labels[kind]) {
 			source = append(append(source, b.Source()...), '\n')
 		}
 	}
