Sentry: transactions judged by routes when read; routes reloaded while it runs

Transactions that carry attributes only need profile, account and key from the operator's routes, and routes change while the sentry runs.

Each is judged on the poller by the one routing that it finds, and keeps what it got. SIGHUP or another file has the file checked whole and its routes swapped in, or refused with the old ones kept; other profiles or accounts are refused, other changes told. What no route takes is answered so, and counted by reason.

--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/pprof"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
@@ -38,6 +39,7 @@
 func sentryCommand() *cobra.Command {
 	var config, level, breach, profile string
 	var random bool
+	var every time.Duration
 	c := &cobra.Command{
 		Use:   "sentry --config FILE",
 		Short: "Run one sentry until SIGTERM; it then takes nothing new and answers all it holds",
@@ -72,8 +74,9 @@
 				}
 				defer pprof.StopCPUProfile()
 			}
-			signals := make(chan os.Signal, 1)
+			signals, hangups := make(chan os.Signal, 1), make(chan os.Signal, 1)
 			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+			signal.Notify(hangups, syscall.SIGHUP)
 			opts := sentry.Options{Log: log, Break: broken}
 			if random {
 				log.Warn().Msg("workers are chosen at random, as a baseline")
@@ -88,7 +91,14 @@
 					s.Stop()
 				}
 			}()
-			<-s.Done()
+			watch(config, every, hangups, s.Done(), func() {
+				sheet, err := orders.Load(config)
+				same := false
+				if err == nil {
+					same, err = s.Reload(sheet)
+				}
+				s.Loaded(sheet, same, err)
+			})
 			return nil
 		},
 	}
@@ -96,6 +106,7 @@
 	c.Flags().StringVar(&level, "level", "info", "least level of what is logged")
 	c.Flags().StringVar(&breach, "break", "", "break a rule on purpose: answer, effect, drain, cold or exposure")
 	c.Flags().StringVar(&profile, "profile", "", "write a processor profile to this file until the end")
+	c.Flags().DurationVar(&every, "watch", time.Second, "how often the file is looked at for new routes; 0: at SIGHUP only")
 	_ = c.MarkFlagRequired("config")
 	c.Flags().BoolVar(&random, "random", false, "choose workers at random, as a baseline for drills")
 	_ = c.Flags().MarkHidden("break")
@@ -103,6 +114,36 @@
 	return c
 }
 
+// watch calls back at each hangup and when a file is another one or has changed, until done. A file that is away for
+// the moment, as between two steps of its replacement, counts as unchanged.
+func watch(file string, every time.Duration, hangups <-chan os.Signal, done <-chan struct{}, changed func()) {
+	var tick <-chan time.Time
+	if every > 0 {
+		t := time.NewTicker(every)
+		defer t.Stop()
+		tick = t.C
+	}
+	last, _ := os.Stat(file)
+	for {
+		select {
+		case <-done:
+			return
+		case <-hangups:
+			if now, err := os.Stat(file); err == nil {
+				last = now
+			}
+			changed()
+		case <-tick:
+			now, err := os.Stat(file)
+			if err != nil || last != nil && os.SameFile(last, now) && now.ModTime().Equal(last.ModTime()) && now.Size() == last.Size() {
+				continue
+			}
+			last = now
+			changed()
+		}
+	}
+}
+
 func checkCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE...",
--- a/internal/match/schema.go
+++ b/internal/match/schema.go
@@ -166,8 +166,12 @@
 // NewRecord makes an empty one.
 func (s *Schema) NewRecord() *Record { return &Record{values: make([]Value, len(s.Attributes))} }
 
-// Clear forgets all values.
-func (r *Record) Clear() { clear(r.values) }
+// Clear forgets all values. Lists keep their room.
+func (r *Record) Clear() {
+	for i := range r.values {
+		r.values[i] = Value{List: r.values[i].List[:0]}
+	}
+}
 
 // Carried is a value as it comes from outside, in whatever form its sender gave it.
 type Carried struct {
--- a/internal/sentry/inbox.go
+++ b/internal/sentry/inbox.go
@@ -54,22 +54,24 @@
 	ended   uint32
 	held    uint32
 	again   bool
-	id      uint64
-	left    uint64
-	hint    uint64
-	key     logic.Key
-	mark    []byte
-	payload []byte
-	buffer  *[]byte // that mark and payload lie in
-	client  *client
-	conn    *conn
-	worker  *worker
-	up      *upstream
-	link    *wire.Link
-	err     error
-	report  *pb.Report
-	news    *pb.News
-	call    func()
+
+	unrouted uint8 // why no route takes it, 0 if one does or none is asked
+	id       uint64
+	left     uint64
+	hint     uint64
+	key      logic.Key
+	mark     []byte
+	payload  []byte
+	buffer   *[]byte // that mark and payload lie in
+	client   *client
+	conn     *conn
+	worker   *worker
+	up       *upstream
+	link     *wire.Link
+	err      error
+	report   *pb.Report
+	news     *pb.News
+	call     func()
 }
 
 // buffers hold what came in frames until the loop is done with it. A large one is not kept.
--- a/internal/sentry/metrics.go
+++ b/internal/sentry/metrics.go
@@ -30,6 +30,8 @@
 
 	left, notTaken, overdue, faults, handOffs, dials prometheus.Counter
 	lateEnds, lists, votes, said                     prometheus.Counter
+	unknown, misfits, reloaded, refused              prometheus.Counter
+	unrouted                                         [len(unroutedNames)]prometheus.Counter
 
 	mu      sync.Mutex
 	times   []*hdrhistogram.Histogram // by profile, microseconds to a satisfying answer
@@ -64,6 +66,14 @@
 	}
 	m.left = one("clients_left_total", "Transactions whose client left before its answer.")
 	m.notTaken = one("not_taken_total", "Transactions refused before they were taken.")
+	unrouted := count("unrouted_total", "Transactions that no route took.", "reason")
+	for i, name := range unroutedNames[1:] {
+		m.unrouted[i+1] = unrouted.WithLabelValues(name)
+	}
+	m.unknown = one("attributes_unknown_total", "Attributes that came and are not declared.")
+	m.misfits = one("attributes_misfit_total", "Attributes that came and do not fit their type; they count as missing.")
+	m.reloaded = one("routes_loaded_total", "Loads of routes that were taken.")
+	m.refused = one("routes_refused_total", "Loads of routes that were refused.")
 	m.overdue = one("overdue_total", "Transactions that the module left unanswered; always 0.")
 	m.faults = one("connection_faults_total", "Connections closed for what came over them.")
 	m.handOffs = one("hand_offs_total", "Hand-offs written to a worker.")
@@ -80,6 +90,12 @@
 		n, _ := s.inbox.load()
 		return float64(n)
 	})
+	gauge("routes", "Routes in use.", func() float64 {
+		if r := s.routing.Load(); r != nil {
+			return float64(len(r.book.Table.Routes))
+		}
+		return 0
+	})
 	gauge("inbox_full_waits", "Times that reading stopped because the inbox was full.", func() float64 {
 		_, n := s.inbox.load()
 		return float64(n)
--- a/internal/sentry/rig_test.go
+++ b/internal/sentry/rig_test.go
@@ -98,6 +98,7 @@
 	list    *standin.List
 	desk    *standin.Desk
 	sheet   *orders.Sheet
+	text    string // of the sheet, without routes
 	log     *logBuffer
 	mu      sync.Mutex
 	endings []logic.HandOffEnd
@@ -135,6 +136,7 @@
 	peer                   string
 	decide                 func(*input.Input) logic.Result
 	memory                 string
+	routes                 string // matching blocks
 }
 
 func newRig(t *testing.T, p rigPlan) *rig {
@@ -177,7 +179,8 @@
 	}
 	text := fmt.Sprintf(sheetText, p.memory, list, r.desk.Address, peer, sentries, p.handOffs, p.copies, p.idle, !p.pushed,
 		p.inbox, p.connections)
-	sheet, err := orders.Parse("rig.hcl", []byte(text))
+	r.text = text
+	sheet, err := orders.Parse("rig.hcl", []byte(text+p.routes))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -38,6 +38,7 @@
 	record  func(*input.Input, *logic.Result)
 	breach  Breach
 	killed  atomic.Bool
+	routing atomic.Pointer[routing]
 	writing sync.WaitGroup // of the list's file
 
 	// What follows belongs to the loop.
@@ -138,6 +139,7 @@
 		module := logic.New(sheet.Standing, seed)
 		s.decide = func(in *input.Input) logic.Result { return input.Apply(module, in) }
 	}
+	s.routing.Store(newRouting(sheet.Routes))
 	s.metrics = newMetrics(s)
 	s.now = s.clock.now()
 	s.book = newBook(sheet.Zones)
@@ -497,7 +499,12 @@
 			return fault("account "+strconv.Itoa(int(m.Account)), "at most "+strconv.Itoa(len(s.orders.Accounts)))
 		}
 		e := event{kind: evAsk, client: c, id: m.ID, profile: m.Profile, account: m.Account, left: m.Left,
-			hint: m.Hint, again: m.Again, key: logic.Key(m.Key)}
+			hint: m.Hint, again: m.Again}
+		if m.Attributes == nil {
+			e.key = logic.Key(m.Key)
+		} else if err := s.judged(&e, m.Attributes); err != nil {
+			return err
+		}
 		if len(m.Mark)+len(m.Payload) > 0 {
 			e.buffer = borrow()
 			both := append(append((*e.buffer)[:0], m.Mark...), m.Payload...)
@@ -589,6 +596,13 @@
 		s.put(c.link, wire.KindAnswer, a)
 		return
 	}
+	if e.unrouted != 0 {
+		s.metrics.unrouted[e.unrouted].Inc()
+		a := &s.scratch.answer
+		*a = wire.Answer{ID: e.id, Outcome: uint32(pb.Outcome_NO_ROUTE)}
+		s.put(c.link, wire.KindAnswer, a)
+		return
+	}
 	t := s.newTransaction()
 	t.client, t.asked, t.profile, t.key, t.mark, t.payload = c, e.id, e.profile, e.key, e.mark, e.payload
 	t.hint, t.came, t.buffer = e.hint, e.at, e.buffer
@@ -627,7 +641,8 @@
 	delete(t.client.open, t.asked)
 	s.metrics.answered(t, o, s.now)
 	a := &s.scratch.answer
-	*a = wire.Answer{ID: t.asked, Outcome: uint32(o), ComeBack: uint64(comeBack), Payload: payload, Worker: worker}
+	*a = wire.Answer{ID: t.asked, Outcome: uint32(o), ComeBack: uint64(comeBack), Payload: payload, Worker: worker,
+		Profile: t.profile}
 	s.put(t.client.link, wire.KindAnswer, a)
 	s.breachAnswer(t, a)
 	s.alarm(t)
--- a/standin/client.go
+++ b/standin/client.go
@@ -356,7 +356,7 @@
 	}
 	c.close(t)
 	f := t.first
-	if m.Outcome == uint32(pb.Outcome_NOT_TAKEN) {
+	if m.Outcome == uint32(pb.Outcome_NOT_TAKEN) || m.Outcome == uint32(pb.Outcome_NO_ROUTE) {
 		c.stage.See(audit.Event{Kind: audit.NotTaken, Sentry: l.to, Try: t.name})
 		f.Outcomes[3]++
 		c.again(f, true)
