--- a/cmd/scalechute/drill_test.go
+++ b/cmd/scalechute/drill_test.go
@@ -24,12 +24,16 @@
 }
 
 func run(t *testing.T, day *drill.Day, breach string) *drill.Result {
+	t.Helper()
+	return runIn(t, t.TempDir(), day, breach)
+}
+
+func runIn(t *testing.T, dir string, day *drill.Day, breach string) *drill.Result {
 	t.Helper()
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	dir := t.TempDir()
 	r, err := drill.Run(day, drill.Plan{Program: []string{self}, Dir: dir, Break: breach, Say: t.Logf})
 	if err != nil {
 		logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
@@ -61,10 +65,18 @@
 	return b.String()
 }
 
-// A short day with a kill, a stop of 3 s, a roll, a crash and a cut: every account is closed and every rule kept.
+// A short day with a kill, a stop of 3 s, a roll, a crash, a cut and routes loaded anew, of transactions that carry
+// attributes only: every account is closed, every rule kept, and each is judged as its client meant.
 func TestShortDay(t *testing.T) {
 	t.Parallel()
-	r := run(t, load(t, "short-day.hcl"), "")
+	dir := t.TempDir()
+	r := runIn(t, dir, load(t, "short-day.hcl"), "")
+	log, err := os.ReadFile(filepath.Join(dir, "sentry-2.log")) // whose file was rewritten, each other time badly
+	for _, what := range []string{"routes loaded", "routes refused, the old ones stay", "block route has 0 labels"} {
+		if n := strings.Count(string(log), what); err != nil || n < 3 {
+			t.Errorf("%q is %d times in the log, expected more: %v", what, n, err)
+		}
+	}
 	if !r.Good() {
 		t.Errorf("%s", show(r))
 	}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -106,6 +106,9 @@
 	Unclosed int      `json:"unclosed"` // tries with neither answer nor end on the client's side
 	HandOffs int      `json:"hand_offs"`
 	Ran      int      `json:"ran"`
+
+	// Misjudged counts hand-offs that had another profile or key than their client meant: routes went wrong.
+	Misjudged int `json:"misjudged"`
 }
 
 // Rules lists the rules that were broken, each once.
@@ -188,6 +191,11 @@
 		}
 		a.answer(t)
 		a.effect(t)
+		for _, h := range t.handOffs {
+			if h.Profile != t.asked.Profile || t.asked.Key != "" && h.Key != t.asked.Key {
+				a.finding.Misjudged++
+			}
+		}
 	}
 	a.drain()
 	a.cold()
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -214,3 +214,17 @@
 	}
 	return d
 }
+
+// A hand-off of another profile or key than its client meant is counted, and no rule says so.
+func TestMisjudged(t *testing.T) {
+	for want, d := range []*day{
+		newDay().ask(10, "a", 0).got(20, "a", 0, "w").ends(30, Ended).answer(31, "a", Satisfied),
+		newDay().ask(10, "a", 1).got(20, "a", 0, "w").ends(30, Ended).answer(31, "a", Satisfied),
+		newDay().add(10, Event{Kind: Asked, Try: "a", Key: "k", Span: 400 * ms}).
+			got(20, "a", 0, "w").ends(30, Turned).got(31, "a", 0, "w").ends(40, Ended).answer(41, "a", Satisfied),
+	} {
+		if f := Check(rules(), 0, d.events); f.Misjudged != want || len(f.Breaches) > 0 {
+			t.Errorf("%d misjudged, expected %d: %+v", f.Misjudged, want, f.Breaches)
+		}
+	}
+}
--- a/internal/drill/file.go
+++ b/internal/drill/file.go
@@ -16,7 +16,7 @@
 
 // Kinds are the troubles that a day may have.
 var Kinds = []string{"bad_build", "balancer_crash", "balancer_roll", "balancer_stall", "burst", "control_down", "crash",
-	"fast_errors", "handshake_slow", "hot_caller", "hot_key", "neighbour", "one_sided", "peer_down", "probe_fail",
+	"fast_errors", "handshake_slow", "hot_caller", "hot_key", "neighbour", "one_sided", "peer_down", "probe_fail", "reload",
 	"shift", "slow", "slow_link", "zone_cut"}
 
 // Blocks names those of a drill's file that are no sentry's orders.
@@ -132,7 +132,8 @@
 	d.Load = standin.Load{
 		PerSecond: b.Figure("per_second", true, 100, 0.1, 100_000), Keys: b.Whole("keys", false, 1000, 1, 1<<20),
 		Zipf: b.Figure("zipf", false, 0.7, 0, 3), Retries: b.Whole("retries", false, 2, 0, 10),
-		Backoff:  span(b.Span("backoff", false, 30*ms, 0, time.Minute)),
+		Backoff: span(b.Span("backoff", false, 30*ms, 0, time.Minute)), Attributes: b.Flag("attributes", false),
+		ProfileNames: d.Sheet.ProfileNames, AccountNames: d.Sheet.AccountNames,
 		TryShare: b.Figure("try_share", false, 0.9, 0.1, 1), Leaves: b.Figure("leaves", false, 0, 0, 1),
 	}
 	d.Load.Profiles = make([]standin.Mix, len(d.Sheet.ProfileNames))
@@ -151,6 +152,9 @@
 	if total < 0.999 || total > 1.001 {
 		b.Fault("shares of all mixes are %g together, expected 1", total)
 	}
+	if d.Load.Attributes && d.Sheet.Routes == nil {
+		b.FaultAt("attributes", "transactions carry attributes only, expected routes for them")
+	}
 	for _, a := range d.Sheet.Standing.Accounts {
 		d.Load.Accounts = append(d.Load.Accounts, a.Share)
 	}
--- a/internal/drill/result.go
+++ b/internal/drill/result.go
@@ -59,8 +59,8 @@
 
 var phaseNames = [...]string{"on trial", "going back", "released", "withdrawn"}
 
-// Good says whether the rules hold and every account is closed.
-func (r *Result) Good() bool { return len(r.Rules) == 0 && r.Closed }
+// Good says whether the rules hold, every account is closed, and every transaction was judged as its client meant.
+func (r *Result) Good() bool { return len(r.Rules) == 0 && r.Closed && r.Finding.Misjudged == 0 }
 
 func (r *runner) result() (*Result, error) {
 	d, o := r.d, &r.d.Sheet.Standing
@@ -179,6 +179,9 @@
 			r.Policy, 100*r.Served, r.HandOffs, r.Trial, r.Fallen)
 		fmt.Fprintf(w, "  accounts: %d asked = %d answered + %d left + %d not taken; closed: %v\n", f.Asked, f.Answered, f.Left,
 			f.NotTaken, r.Closed)
+		if f.Misjudged > 0 {
+			fmt.Fprintf(w, "  %d hand-offs had another profile or key than their client meant\n", f.Misjudged)
+		}
 		for _, b := range r.Builds {
 			fmt.Fprintf(w, "  %6.1f s  build %d %s, stage %d, cap %g\n", b.At, b.Build, b.Phase, b.Stage, b.Cap)
 		}
--- a/internal/drill/trouble.go
+++ b/internal/drill/trouble.go
@@ -1,6 +1,8 @@
 package drill
 
 import (
+	"fmt"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -52,6 +54,8 @@
 				s.trouble.Unlock()
 			}
 		}
+	case "reload":
+		return r.reload(t)
 	case "burst":
 		return r.callersWith(t, func(c *standin.Callers) { c.Burst = t.Size }, func(c *standin.Callers) { c.Burst = 1 })
 	case "hot_key":
@@ -180,6 +184,46 @@
 	}
 }
 
+// reload rewrites sentries' files every so often, each other time with a fault in it, and at the end as they were. Every
+// third time the sentry is told by SIGHUP at once; else it finds out by itself.
+func (r *runner) reload(t Trouble) func() {
+	hit := r.pick(t)
+	whole := make([][]byte, len(hit))
+	for i, s := range hit {
+		whole[i], _ = os.ReadFile(s.config)
+	}
+	done := make(chan struct{})
+	var over sync.WaitGroup
+	over.Go(func() {
+		for n := 1; ; n++ {
+			for i, s := range hit {
+				text := append(whole[i][:len(whole[i]):len(whole[i])], fmt.Sprintf("# load %d\n", n)...)
+				if n%2 == 1 {
+					text = append(text, "route {}\n"...)
+				}
+				_ = os.WriteFile(s.config, text, 0o644)
+				if n%3 == 0 {
+					r.signal(s, syscall.SIGHUP)
+				}
+			}
+			select {
+			case <-done:
+				return
+			case <-time.After(span(t.Span)):
+			}
+		}
+	})
+	return func() {
+		close(done)
+		over.Wait()
+		for i, s := range hit {
+			_ = os.WriteFile(s.config, whole[i], 0o644)
+			r.signal(s, syscall.SIGHUP)
+			s.trouble.Unlock()
+		}
+	}
+}
+
 // shift moves a share of one zone's traffic to the next zone.
 func (r *runner) shift(t Trouble) func() {
 	from := max(0, t.Zone)
--- a/internal/drill/trouble_test.go
+++ b/internal/drill/trouble_test.go
@@ -106,7 +106,7 @@
 			t.Errorf("%s %s: %d signs after it, %d before", c.kind, c.how, holds(), before)
 		}
 	}
-	processes := []string{"bad_build", "balancer_crash", "balancer_roll", "balancer_stall"}
+	processes := []string{"bad_build", "balancer_crash", "balancer_roll", "balancer_stall", "reload"}
 	for _, k := range Kinds {
 		if !tried[k] && !slices.Contains(processes, k) {
 			t.Errorf("%s was not tried", k)
@@ -134,6 +134,7 @@
 		{`mix "handover"`, `mix "handoff"`, `mix "handoff", expected one of the profiles`},
 		{`share = 0.20`, `share = 0.30`, `shares of all mixes are 1.1 together, expected 1`},
 		{`cold_from = 0.5`, `cold_from = 0.3`, `workers are colder than the rules state`},
+		{`keys       = `, "attributes = true\n  keys = ", `attributes: transactions carry attributes only, expected routes`},
 		{`count = 1`, `cout = 1`, `cout: unknown in block trouble crash`},
 		{`length   = "9s"`, `length = "1h"`, `length: found "1h", expected a span from 1s to 10m0s`},
 	} {
--- a/standin/client.go
+++ b/standin/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"scalechute/internal/audit"
+	"scalechute/internal/match"
 	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
 	"scalechute/logic"
@@ -24,6 +25,10 @@
 	TryShare  float64 // of the outer limit, after which a try is given up
 	Leaves    float64 // share of tries that are given up early, at a random time
 	Accounts  []float64
+
+	Attributes   bool // transactions carry attributes only, and routes must make of them what the client means
+	ProfileNames []string
+	AccountNames []string
 }
 
 // Mix is one profile's part of the load.
@@ -287,8 +292,13 @@
 	t := &callTry{name: fmt.Sprintf("%s.%d", f.mark, f.Tries), first: f, line: l, id: l.seq}
 	l.open[t.id], l.all[t.id] = t, t.name
 	c.stage.See(audit.Event{Kind: audit.Asked, Sentry: l.to, Try: t.name, Profile: f.Profile, Key: f.key, Span: left})
-	m := &wire.Ask{ID: t.id, Profile: uint32(f.Profile), Account: uint32(f.account), Key: []byte(f.key), Left: uint64(left),
-		Hint: uint64(f.work), Again: f.Tries > 1, Payload: []byte(fmt.Sprintf("%s %d", t.name, int(f.work)))}
+	m := &wire.Ask{ID: t.id, Left: uint64(left), Hint: uint64(f.work), Again: f.Tries > 1,
+		Payload: []byte(fmt.Sprintf("%s %d", t.name, int(f.work)))}
+	if c.load.Attributes {
+		m.Attributes = c.attributes(f)
+	} else {
+		m.Profile, m.Account, m.Key = uint32(f.Profile), uint32(f.account), []byte(f.key)
+	}
 	if p.Repeat == logic.Labelled {
 		m.Mark = []byte(f.mark)
 	}
@@ -301,6 +311,22 @@
 	t.timer = time.AfterFunc(wait, func() { c.leave(t) })
 }
 
+// attributes are eight that say what a transaction is without naming it, with the lock held.
+func (c *Callers) attributes(f *First) (b []byte) {
+	add := func(name string, v match.Carried) { b = wire.AppendAttribute(b, name, &v) }
+	add("kind", match.Carried{Text: c.load.ProfileNames[f.Profile]})
+	add("truck", match.Carried{Text: string(f.key)})
+	if f.account > 0 {
+		add("region", match.Carried{Text: c.load.AccountNames[f.account-1]})
+	}
+	add("temp", match.Carried{Kind: match.Measure, Fig: float64(c.chance.Intn(30)), Unit: "celsius"})
+	add("urgent", match.Carried{Kind: match.Flag, Num: int64(c.chance.Intn(2))})
+	add("size", match.Carried{Kind: match.Whole, Num: int64(f.work)})
+	add("age", match.Carried{Kind: match.Span, Num: int64(c.stage.Now() - f.At)})
+	add("legs", match.Carried{Kind: match.List, Items: []match.Carried{{Kind: match.Whole, Num: 4}, {Kind: match.Whole, Num: 9}}})
+	return b
+}
+
 func (c *Callers) leave(t *callTry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
