Routes: the language by examples that the tests try, and a page for operators

The language needs a reference that can't be wrong, and operators a page.

docs/language.hcl has each form with cases; docs/routes.md tells how to try, change and watch routes. A case that fails says what keeps the transaction from its route. The sentry's example has routes. Commands and the watch on the file are tested.

match test tries 23 cases of four files; a changed file is noticed once, a removed one is no change.

--- a/cmd/scalechute/drill_test.go
+++ b/cmd/scalechute/drill_test.go
@@ -7,7 +7,9 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"scalechute/internal/drill"
 	"scalechute/internal/sentry"
@@ -138,6 +140,31 @@
 	if err := os.WriteFile(bad, []byte("sentry {}\n"), 0o644); err != nil {
 		t.Fatal(err)
 	}
+	wrong := filepath.Join(dir, "wrong.hcl")
+	if err := os.WriteFile(wrong, []byte(`profile "p" {}
+set "kind" {
+  members = ["a", "b"]
+}
+attribute "kind" {
+  type = "kind"
+}
+route "through" {
+  when    = "kind in [kind.a, kind.b]"
+  key     = "'k'"
+  profile = "p"
+}
+route "moved" {
+  when    = "kind == kind.b"
+  key     = "'k'"
+  profile = "p"
+}
+case "moved" {
+  with  = { kind = "a" }
+  route = "moved"
+}
+`), 0o644); err != nil {
+		t.Fatal(err)
+	}
 	cases := []struct {
 		args     []string
 		out, err string
@@ -145,6 +172,18 @@
 		{[]string{"check", "../../deploy/sentry.hcl"}, "good; sentry 0 of 2, 3 profiles", ""},
 		{[]string{"check", "../../deploy/sentry.hcl", bad}, "no block deployment, expected one", "1 of 2 files have faults"},
 		{[]string{"check", filepath.Join(dir, "none.hcl")}, "no such file", "1 of 1 files"},
+		{[]string{"match", "test", "../../docs/language.hcl", "../../deploy/sentry.hcl"}, "19 cases hold", ""},
+		{[]string{"match", "test", "../../drills/bad-day.hcl", "../../drills/short-day.hcl"}, "4 cases hold", ""},
+		{[]string{"match", "test", "../../drills/breach.hcl"}, "", "no attribute and no route, expected some"},
+		{[]string{"match", "test", wrong}, `case "moved": found route through, expected moved: kind == kind.b does not hold: kind is kind.a`,
+			"1 faults in 1 cases"},
+		{[]string{"match", "check", "../../docs/language.hcl", wrong, bad}, "route moved is never reached", "1 of 3 files have faults"},
+		{[]string{"match", "check", wrong}, "good; 1 attributes, 0 named expressions, 2 routes, 1 cases", ""},
+		{[]string{"match", "eval", "../../deploy/sentry.hcl", "--with", "depot=kingston", "--with", "truck=t", "--with", "temp=3 kelvin"},
+			"left missing: temp: found a figure in \"kelvin\", expected a unit of temperature\nroute the rest (../../deploy/sentry.hcl:134): profile reading, account none, key \"t\"\n  not handovers", ""},
+		{[]string{"match", "eval", "../../deploy/sentry.hcl", "--with", "truck=t"}, "not taken: depot must be there and is missing", ""},
+		{[]string{"match", "eval", wrong, "--with", "kind"}, "", `with: found "kind", expected name=value`},
+		{[]string{"match", "explain", wrong}, "kind  by equal  in 2 routes", ""},
 		{[]string{"sentry"}, "", `required flag(s) "config" not set`},
 		{[]string{"sentry", "--config", bad}, "", "bad.hcl:1:1: no block"},
 		{[]string{"sentry", "--config", "../../deploy/sentry.hcl", "--level", "loud"}, "", `level: found "loud"`},
@@ -164,3 +203,62 @@
 		}
 	}
 }
+
+// A hangup, another content and another file in its place are noticed, each once; a file that is away is not a change.
+func TestWatch(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "f")
+	write := func(name, text string) {
+		if err := os.WriteFile(name, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(file, "one")
+	hangups, done, seen, ended := make(chan os.Signal), make(chan struct{}), make(chan string, 10), make(chan struct{})
+	go func() {
+		defer close(ended)
+		watch(file, time.Millisecond, hangups, done, func() {
+			text, _ := os.ReadFile(file)
+			seen <- string(text)
+		})
+	}()
+	quiet := func(after string) {
+		t.Helper()
+		select {
+		case text := <-seen:
+			t.Errorf("after %s: a change to %q", after, text)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	want := func(text string) {
+		t.Helper()
+		select {
+		case got := <-seen:
+			if got != text {
+				t.Errorf("found %q, expected %q", got, text)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("nothing in 5 s, expected %q", text)
+		}
+	}
+	quiet("the start")
+	hangups <- syscall.SIGHUP
+	want("one")
+	quiet("a hangup")
+	write(file+".new", "two")
+	if err := os.Rename(file+".new", file); err != nil {
+		t.Fatal(err)
+	}
+	want("two")
+	quiet("a rename")
+	if err := os.Remove(file); err != nil {
+		t.Fatal(err)
+	}
+	quiet("its removal")
+	write(file+".new", "three")
+	if err := os.Rename(file+".new", file); err != nil {
+		t.Fatal(err)
+	}
+	want("three")
+	close(done)
+	<-ended
+}
--- a/deploy/sentry.hcl
+++ b/deploy/sentry.hcl
@@ -87,3 +87,67 @@
   cross  = 0.04
   waste  = 0.05
 }
+
+# Routes, for transactions that carry attributes only (docs/routes.md). `scalechute match test deploy/sentry.hcl` tries the
+# cases; the sentry takes changed routes at SIGHUP or within a second.
+
+set "depot" {
+  members = ["kingston", "mandeville"]
+}
+
+measure "temperature" {
+  unit "celsius" {}
+  unit "fahrenheit" {
+    scale  = 0.5555555555555556
+    offset = -17.77777777777778
+  }
+}
+
+attribute "depot" {
+  type = "depot"
+}
+attribute "truck" {
+  type = "text"
+  most = 32
+}
+attribute "signed" {
+  type           = "flag"
+  may_be_missing = true
+}
+attribute "temp" {
+  type           = "temperature"
+  may_be_missing = true
+}
+
+route "handovers" {
+  when    = "signed"
+  key     = "truck"
+  profile = "handover"
+}
+
+route "excursions" {
+  when    = "temp > celsius(8) || temp < celsius(2)"
+  key     = "truck"
+  profile = "excursion"
+}
+
+route "the rest" {
+  when    = "true"
+  key     = "truck"
+  profile = "reading"
+}
+
+case "too warm" {
+  with  = { depot = "kingston", truck = "t-17", temp = "50 fahrenheit" }
+  route = "excursions"
+  key   = "t-17"
+}
+case "signed, however warm" {
+  with  = { depot = "kingston", truck = "t-17", temp = 10, signed = true }
+  route = "handovers"
+}
+case "a depot that nobody knows" {
+  with    = { depot = "moon", truck = "t-17" }
+  misfits = ["depot"]
+  route   = "none"
+}
--- a/internal/hclread/read.go
+++ b/internal/hclread/read.go
@@ -252,6 +252,18 @@
 	return v.AsString()
 }
 
+// Phrase is a string that may be empty.
+func (b *Body) Phrase(name string) string {
+	v, at, ok := b.value(name, true, "a text")
+	if ok && v.Type() == cty.String {
+		return v.AsString()
+	}
+	if ok {
+		b.fault(at, "%s: found %s, expected a text", name, show(v))
+	}
+	return ""
+}
+
 // Word is one of a few, given as its place among them.
 func (b *Body) Word(name string, must bool, otherwise int, of ...string) int {
 	want := "one of " + strings.Join(of, ", ")
--- a/internal/match/match_test.go
+++ b/internal/match/match_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -275,6 +276,7 @@
 func TestCompiledIsTheReference(t *testing.T) {
 	s, c := checker(t, math.MaxInt32)
 	r, checked := s.NewRecord(), 0
+	var tight []float64 // of each expression, the part of its bound that its dearest record took
 	rapid.Check(t, func(t *rapid.T) {
 		text := texts(t, rapid.IntRange(0, 3).Draw(t, "depth"), nil)
 		p, err := c.Predicate(text)
@@ -284,15 +286,23 @@
 			}
 			t.Fatalf("%s: %v", text, err)
 		}
+		most := int64(0)
 		for range 5 {
 			draw(t, s, r)
 			want, steps := p.Interpret(r)
+			most = max(most, steps)
 			if got := p.Holds(r); got != want || steps > p.Cost {
 				t.Fatalf("%s of %+v: %v, by the reference %v; %d steps, bound %d", text, r.values, got, want, steps, p.Cost)
 			}
 			checked++
 		}
+		tight = append(tight, float64(most)/float64(p.Cost))
 	})
+	slices.Sort(tight)
+	if n := len(tight); n > 0 {
+		t.Logf("%d records of %d expressions; steps taken of the bound: median %.2f, least %.3f, most %.2f", checked, n, tight[n/2],
+			tight[0], tight[n-1])
+	}
 	if checked < 100 {
 		t.Errorf("only %d records were tried", checked)
 	}
--- a/internal/routes/read.go
+++ b/internal/routes/read.go
@@ -273,7 +273,7 @@
 		c := Case{Name: b.Labels[0], Place: b.Place(), With: b.Pairs("with", true), Route: b.Text("route", true, "none"),
 			HasKey: b.Has("key")}
 		if c.HasKey {
-			c.Key = b.Text("key", true, "")
+			c.Key = b.Phrase("key")
 		}
 		if b.Has("misfits") {
 			c.Misfits = b.Texts("misfits", true)
--- a/internal/routes/try.go
+++ b/internal/routes/try.go
@@ -103,16 +103,7 @@
 		}
 		v := b.Judge(r)
 		if got := b.RouteName(v.Route); got != c.Route {
-			why := ""
-			if v.Absent != "" {
-				why = ": " + v.Absent + " must be there and is missing"
-			}
-			for _, m := range b.misses(r, v) {
-				if b.RouteName(m.Route) == c.Route {
-					why = fmt.Sprintf(": %s does not hold: %s", m.Part, m.Found)
-				}
-			}
-			say("found route %s, expected %s%s", got, c.Route, why)
+			say("found route %s, expected %s%s", got, c.Route, b.why(r, v, c.Route))
 		} else if c.HasKey && v.Key != c.Key {
 			say("found key %q, expected %q", v.Key, c.Key)
 		}
@@ -120,6 +111,23 @@
 	return failed
 }
 
+// why says what keeps a record from a route, if there is such a one.
+func (b *Book) why(r *match.Record, v Verdict, route string) string {
+	if v.Absent != "" {
+		return ": " + v.Absent + " must be there and is missing"
+	}
+	at := slices.IndexFunc(b.Table.Routes, func(x match.Route) bool { return x.Name == route })
+	if at < 0 {
+		return ""
+	}
+	for _, m := range b.Table.Misses(r, at+1) {
+		if m.Route == at {
+			return fmt.Sprintf(": %s does not hold: %s", m.Part, m.Found)
+		}
+	}
+	return ", which matches too but comes later"
+}
+
 func (b *Book) misses(r *match.Record, v Verdict) []match.Miss {
 	if v.Absent != "" {
 		return nil
