Measure: what routes cost a sentry; attributes read with fewer steps

The cost of judging by routes was not known beside a sentry without.

measure routes runs both turn about. The reader takes short fields without protowire's steps, and a transaction's attributes are looked for first where the last one had them.

--- a/cmd/scalechute/measure.go
+++ b/cmd/scalechute/measure.go
@@ -69,6 +69,34 @@
 	}
 	relay.Flags().IntVar(&rounds, "rounds", 3, "how often each is measured")
 	relay.Flags().StringVar(&plan.Profile, "profile", "", "file for a processor profile of the first sentry")
+	var most int
+	routed := &cobra.Command{
+		Use: "routes", Short: "What judging by routes costs a sentry, beside transactions that say what they are, turn about",
+		Args: cobra.NoArgs,
+		RunE: prepared(func(w io.Writer) error {
+			plan.Clients, plan.Window, plan.Rate = 16, 4, 0
+			ratio, core := 0.0, 0.0
+			for range rounds {
+				plan.Routes = 0
+				plain, err := measure.Sentry(plan)
+				if err != nil {
+					return err
+				}
+				plan.Routes = most
+				by, err := measure.Sentry(plan)
+				if err != nil {
+					return err
+				}
+				measure.Print(w, plain, by)
+				ratio, core = ratio+by.PerSecond/plain.PerSecond/float64(rounds), core+by.PerCore/plain.PerCore/float64(rounds)
+			}
+			fmt.Fprintf(w, "%d routes to none: throughput %.3f, for a second of one core %.3f\n", most, ratio, core)
+			return nil
+		}),
+	}
+	routed.Flags().IntVar(&rounds, "rounds", 3, "how often each is measured")
+	routed.Flags().IntVar(&most, "routes", 100, "routes")
+	routed.Flags().StringVar(&plan.Profile, "profile", "", "file for a processor profile of the last sentry")
 	crowd := &cobra.Command{
 		Use: "crowd", Short: "One sentry with many client connections", Args: cobra.NoArgs,
 		RunE: prepared(func(w io.Writer) error {
@@ -113,6 +141,6 @@
 		},
 	}
 	matching.Flags().StringVar(&svg, "svg", "", "file for a plot of cost over number of routes")
-	c.AddCommand(relay, crowd, matching, bare)
+	c.AddCommand(relay, crowd, routed, matching, bare)
 	return c
 }
--- a/internal/measure/match.go
+++ b/internal/measure/match.go
@@ -19,6 +19,7 @@
 	"scalechute/internal/hclread"
 	"scalechute/internal/match"
 	"scalechute/internal/routes"
+	"scalechute/internal/wire"
 )
 
 // MatchReading is what finding the route of one transaction takes, in nanoseconds: by the index, by trying each route in
@@ -33,8 +34,6 @@
 }
 
 const words = `
-profile "reading" {}
-
 set "depot" {
   members = [%s]
 }
@@ -81,8 +80,8 @@
 
 const depots = 200
 
-// RoutesFile is a file of n routes, as a large operator might have them: by depot, kind, size and temperature.
-func RoutesFile(n int) []byte {
+// routesText is n routes, as a large operator might have them: by depot, kind, size and temperature.
+func routesText(n int) string {
 	var b strings.Builder
 	names := make([]string, depots)
 	for i := range names {
@@ -93,7 +92,37 @@
 		fmt.Fprintf(&b, "route \"r%d\" {\n  when    = \"%s\"\n  key     = \"id\"\n  profile = \"reading\"\n}\n", i,
 			strings.ReplaceAll(condition(i, "depot.s%d", "celsius(%d)"), `"`, `'`))
 	}
-	return []byte(b.String())
+	return b.String()
+}
+
+// rest takes what no other route does.
+const rest = "route \"rest\" {\n  when    = \"true\"\n  key     = \"id\"\n  profile = \"reading\"\n}\n"
+
+// samples are bodies of attributes, all but the id.
+func samples(n int) (all [][]byte) {
+	chance := rand.New(rand.NewSource(1))
+	for range 64 {
+		_, values := sample(chance, n)
+		var b []byte
+		for _, name := range []string{"depot", "class", "kind", "size", "temp", "urgent", "age"} {
+			var v match.Carried
+			switch x := values[name].(type) {
+			case string:
+				v.Text = x
+			case int64:
+				v.Kind, v.Num = match.Whole, x
+			case float64:
+				v.Kind, v.Fig = match.Measure, x
+			case bool:
+				v.Kind, v.Num = match.Flag, 1
+			case time.Duration:
+				v.Kind, v.Num = match.Span, x.Microseconds()
+			}
+			b = wire.AppendAttribute(b, name, &v)
+		}
+		all = append(all, b)
+	}
+	return all
 }
 
 func condition(i int, depot, temp string) string {
@@ -115,7 +144,7 @@
 
 // Match measures with n routes.
 func Match(n int) (*MatchReading, error) {
-	text := RoutesFile(n)
+	text := []byte("profile \"reading\" {}\n" + routesText(n))
 	r := &MatchReading{Routes: n, Load: time.Hour}
 	var book *routes.Book
 	for range 3 { // the best of three: the first has caches to fill
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -21,6 +21,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"scalechute/internal/match"
 	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
 	"scalechute/logic"
@@ -38,6 +39,7 @@
 	For     time.Duration // of each measurement
 	Procs   int           // GOMAXPROCS of what is measured
 	Profile string        // file for a processor profile, empty if none
+	Routes  int           // routes that judge transactions of eight attributes; 0: transactions say what they are
 }
 
 // Reading is one measurement.
@@ -100,7 +102,7 @@
   sentries = 1
   zones    = ["z"]
 }
-profile "read" {
+profile "reading" {
   due_time    = "1s"
   outer_limit = "4s"
   repeat      = "redoable"
@@ -174,6 +176,11 @@
 	}
 	file := filepath.Join(p.Dir, "measured.hcl")
 	text := fmt.Sprintf(orders, listen, metrics, filepath.Join(p.Dir, "measured.list"), list.Address, desk.Address)
+	name := "sentry"
+	if p.Routes > 0 {
+		name = "routed"
+		text += routesText(p.Routes) + rest
+	}
 	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
@@ -181,7 +188,7 @@
 	if p.Profile != "" {
 		args = append(args, "--profile", p.Profile)
 	}
-	return p.run("sentry", listen, metrics, args)
+	return p.run(name, listen, metrics, args)
 }
 
 // Relay measures the bare relay.
@@ -235,6 +242,9 @@
 	defer stop()
 	r := &Reading{What: what, Connections: p.Clients}
 	d := &driver{p: p}
+	if p.Routes > 0 {
+		d.samples = samples(p.Routes)
+	}
 	for try := 0; ; try++ {
 		link, err := wire.Dial(listen, time.Second, wire.DefaultBounds, d.answered(nil), nil)
 		if err == nil {
@@ -283,6 +293,7 @@
 	done      atomic.Int64
 	satisfied atomic.Int64
 	running   atomic.Bool
+	samples   [][]byte // attributes but for the id, nil if transactions say what they are
 	mu        sync.Mutex
 	times     *hdrhistogram.Histogram
 }
@@ -293,6 +304,8 @@
 	mu   sync.Mutex
 	id   uint64
 	sent map[uint64]time.Time
+
+	key, carried []byte
 }
 
 var payload = []byte("a reading of 64 bytes, as a gateway of a truck would send it.....")
@@ -302,8 +315,16 @@
 	defer c.mu.Unlock()
 	c.id++
 	c.sent[c.id] = time.Now()
-	key := strconv.AppendUint(nil, c.id*0x9e3779b97f4a7c15, 16)
-	c.link.Put(wire.KindAsk, &wire.Ask{ID: c.id, Key: key, Left: 4_000_000, Payload: payload})
+	c.key = strconv.AppendUint(c.key[:0], c.id*0x9e3779b97f4a7c15, 16)
+	m := &wire.Ask{ID: c.id, Left: 4_000_000, Payload: payload}
+	if samples := c.d.samples; samples == nil {
+		m.Key = c.key
+	} else {
+		c.carried = wire.AppendAttribute(append(c.carried[:0], samples[c.id%uint64(len(samples))]...), "id",
+			&match.Carried{Kind: match.Text, Text: string(c.key)})
+		m.Attributes = c.carried
+	}
+	c.link.Put(wire.KindAsk, m)
 }
 
 func (d *driver) answered(c *caller) wire.Handler {
--- a/internal/sentry/routing.go
+++ b/internal/sentry/routing.go
@@ -25,6 +25,8 @@
 	record *match.Record
 	reader wire.AttributeReader
 	key    []byte
+	nth    int   // attribute of this transaction
+	order  []int // places of the attributes, as the last one had them: most clients keep to one order
 	each   func(name []byte, v *match.Carried)
 
 	unknown, misfits int
@@ -37,9 +39,19 @@
 	}
 	r := &routing{book: b}
 	r.spare.New = func() any {
-		j := &judge{record: b.Schema.NewRecord()}
+		j := &judge{record: b.Schema.NewRecord(), order: make([]int, len(b.Schema.Attributes))}
 		j.each = func(name []byte, v *match.Carried) {
-			at := b.Schema.At(name)
+			var at int
+			switch n := j.nth; {
+			case n < len(j.order) && j.order[n] >= 0 && b.Schema.Attributes[j.order[n]].Name == string(name):
+				at = j.order[n]
+			case n < len(j.order):
+				at = b.Schema.At(name)
+				j.order[n] = at
+			default:
+				at = b.Schema.At(name)
+			}
+			j.nth++
 			if at < 0 {
 				j.unknown++
 			} else if b.Schema.Put(j.record, at, v) != nil {
@@ -70,7 +82,7 @@
 	j := r.spare.Get().(*judge)
 	defer r.spare.Put(j)
 	j.record.Clear()
-	j.unknown, j.misfits = 0, 0
+	j.nth, j.unknown, j.misfits = 0, 0, 0
 	if err := j.reader.Read(attributes, j.each); err != nil {
 		return fault("attributes that can't be read", "a message as the schema has it")
 	}
--- a/internal/wire/attributes.go
+++ b/internal/wire/attributes.go
@@ -91,24 +91,59 @@
 	})
 }
 
+// field is one field of a message. Short ones, which most are, are read without protowire's steps.
+type field struct {
+	is     protowire.Number
+	kind   protowire.Type
+	data   []byte
+	number uint64
+}
+
+func next(b []byte, f *field) (rest []byte, err error) {
+	if len(b) > 1 && b[0] >= 8 && b[0] < 0x80 && b[1] < 0x80 {
+		f.is, f.kind = protowire.Number(b[0]>>3), protowire.Type(b[0]&7)
+		switch n := 2 + int(b[1]); {
+		case f.kind == protowire.VarintType:
+			f.number = uint64(b[1])
+			return b[2:], nil
+		case f.kind == protowire.BytesType && n <= len(b):
+			f.data = b[2:n]
+			return b[n:], nil
+		}
+	}
+	var n int
+	if f.is, f.kind, n = protowire.ConsumeTag(b); n < 0 {
+		return nil, protowire.ParseError(n)
+	}
+	b = b[n:]
+	switch f.kind {
+	case protowire.VarintType:
+		f.number, n = protowire.ConsumeVarint(b)
+	case protowire.Fixed64Type:
+		f.number, n = protowire.ConsumeFixed64(b)
+	case protowire.BytesType:
+		f.data, n = protowire.ConsumeBytes(b)
+	default:
+		n = protowire.ConsumeFieldValue(f.is, f.kind, b)
+	}
+	if n < 0 {
+		return nil, protowire.ParseError(n)
+	}
+	return b[n:], nil
+}
+
 // eachEntry walks the entries of pb.Attributes.
-func eachEntry(b []byte, entry func([]byte) error) error {
+func eachEntry(b []byte, entry func([]byte) error) (err error) {
+	var f field
 	for len(b) > 0 {
-		field, kind, n := protowire.ConsumeTag(b)
-		if n < 0 {
-			return protowire.ParseError(n)
+		if b, err = next(b, &f); err != nil {
+			return err
 		}
-		m := protowire.ConsumeFieldValue(field, kind, b[n:])
-		if m < 0 {
-			return protowire.ParseError(m)
-		}
-		if field == 1 && kind == protowire.BytesType {
-			body, _ := protowire.ConsumeBytes(b[n:])
-			if err := entry(body); err != nil {
+		if f.is == 1 && f.kind == protowire.BytesType {
+			if err := entry(f.data); err != nil {
 				return err
 			}
 		}
-		b = b[n+m:]
 	}
 	return nil
 }
@@ -116,60 +151,56 @@
 // one reads an attribute. A list within a list has no elements for it: no declared type takes one.
 func (r *AttributeReader) one(b []byte, v *match.Carried, lists bool) (name []byte, err error) {
 	*v = match.Carried{}
+	var f field
 	for len(b) > 0 {
-		field, kind, n := protowire.ConsumeTag(b)
-		if n < 0 {
-			return nil, protowire.ParseError(n)
-		}
-		b = b[n:]
-		if n = protowire.ConsumeFieldValue(field, kind, b); n < 0 {
-			return nil, protowire.ParseError(n)
+		if b, err = next(b, &f); err != nil {
+			return nil, err
 		}
-		var data []byte
-		var number uint64
-		switch kind {
+		switch f.kind {
 		case protowire.BytesType:
-			data, _ = protowire.ConsumeBytes(b)
+			switch f.is {
+			case 1:
+				name = f.data
+			case 2:
+				v.Kind, v.Text = match.Text, inPlace(f.data)
+			case 7:
+				v.Kind = match.List
+				if lists {
+					if err := r.list(f.data); err != nil {
+						return nil, err
+					}
+					v.Items = r.items
+				}
+			case 8:
+				v.Unit = inPlace(f.data)
+			}
 		case protowire.VarintType:
-			number, _ = protowire.ConsumeVarint(b)
-		case protowire.Fixed64Type:
-			number, _ = protowire.ConsumeFixed64(b)
-		}
-		b = b[n:]
-		switch {
-		case field == 1 && kind == protowire.BytesType:
-			name = data
-		case field == 2 && kind == protowire.BytesType:
-			v.Kind, v.Text = match.Text, inPlace(data)
-		case field == 3 && kind == protowire.VarintType:
-			v.Kind, v.Num = match.Whole, protowire.DecodeZigZag(number)
-		case field == 4 && kind == protowire.Fixed64Type:
-			v.Kind, v.Fig = match.Measure, math.Float64frombits(number)
-		case field == 5 && kind == protowire.VarintType:
-			v.Kind, v.Num = match.Flag, int64(min(1, number))
-		case field == 6 && kind == protowire.VarintType:
-			v.Kind, v.Num = match.Span, protowire.DecodeZigZag(number)
-		case field == 7 && kind == protowire.BytesType:
-			v.Kind = match.List
-			if !lists {
-				continue
+			switch f.is {
+			case 3:
+				v.Kind, v.Num = match.Whole, protowire.DecodeZigZag(f.number)
+			case 5:
+				v.Kind, v.Num = match.Flag, int64(min(1, f.number))
+			case 6:
+				v.Kind, v.Num = match.Span, protowire.DecodeZigZag(f.number)
 			}
-			if err := eachEntry(data, func(body []byte) error {
-				if len(r.items) >= mostItems {
-					return nil
-				}
-				r.items = append(r.items, match.Carried{})
-				_, err := r.one(body, &r.items[len(r.items)-1], false)
-				return err
-			}); err != nil {
-				return nil, err
+		case protowire.Fixed64Type:
+			if f.is == 4 {
+				v.Kind, v.Fig = match.Measure, math.Float64frombits(f.number)
 			}
-			v.Items = r.items
-		case field == 8 && kind == protowire.BytesType:
-			v.Unit = inPlace(data)
 		}
 	}
 	return name, nil
 }
 
+func (r *AttributeReader) list(b []byte) error {
+	return eachEntry(b, func(body []byte) error {
+		if len(r.items) >= mostItems {
+			return nil
+		}
+		r.items = append(r.items, match.Carried{})
+		_, err := r.one(body, &r.items[len(r.items)-1], false)
+		return err
+	})
+}
+
 func inPlace(b []byte) string { return unsafe.String(unsafe.SliceData(b), len(b)) }
