Sentry: attributes that nothing depends on are passed over unread

Values are taken in place instead of through copies, attributes that no route names and that need not be there are not read, and equalities alone make no prefix dimension.

--- a/internal/match/reference_test.go
+++ b/internal/match/reference_test.go
@@ -48,7 +48,10 @@
 	words := func(a, b Value) { i.steps += int64(min(len(a.Text), len(b.Text)) / 8) }
 	switch n.op {
 	case opAttribute:
-		return i.r.values[n.at]
+		if v := i.r.values[n.at]; v.Given {
+			return v
+		}
+		return Value{}
 	case opElement:
 		return i.r.element[n.at]
 	case opAnd:
--- a/internal/match/schema.go
+++ b/internal/match/schema.go
@@ -148,7 +148,7 @@
 	return s != "" && len(s) <= 64
 }
 
-// Value is an attribute's, or an element's of a list.
+// Value is an attribute's, or an element's of a list. If it is not given its text is empty and nothing else counts.
 type Value struct {
 	Given bool
 	Num   int64 // Whole; Flag: 0 or 1; Span: microseconds; Set: place of the member
@@ -169,7 +169,7 @@
 // Clear forgets all values. Lists keep their room.
 func (r *Record) Clear() {
 	for i := range r.values {
-		r.values[i] = Value{List: r.values[i].List[:0]}
+		r.values[i].Given, r.values[i].Text = false, ""
 	}
 }
 
@@ -195,27 +195,23 @@
 // texts as they are, without a copy.
 func (s *Schema) Put(r *Record, at int, v *Carried) error {
 	t, slot := s.Attributes[at].Type, &r.values[at]
-	list := slot.List[:0]
-	*slot = Value{}
+	slot.Given, slot.Text = false, ""
 	if t.Kind != List || v.Kind != List {
-		value, err := t.value(v)
-		if err != nil {
+		if err := t.take(slot, v); err != nil {
 			return fmt.Errorf("%s: %w", s.Attributes[at].Name, err)
 		}
-		*slot = value
 		return nil
 	}
 	if len(v.Items) > t.Most {
 		return fmt.Errorf("%s: found %d elements, expected at most %d", s.Attributes[at].Name, len(v.Items), t.Most)
 	}
+	slot.List = slices.Grow(slot.List[:0], len(v.Items))[:len(v.Items)]
 	for i := range v.Items {
-		value, err := t.Of.value(&v.Items[i])
-		if err != nil {
+		if err := t.Of.take(&slot.List[i], &v.Items[i]); err != nil {
 			return fmt.Errorf("%s, element %d: %w", s.Attributes[at].Name, i, err)
 		}
-		list = append(list, value)
 	}
-	*slot = Value{Given: true, List: list}
+	slot.Given = true
 	return nil
 }
 
@@ -229,45 +225,48 @@
 	return -1
 }
 
-func (t *Type) value(v *Carried) (Value, error) {
-	out := Value{Given: true}
+// take puts into a value what fits its type, or leaves it missing. What other kinds keep in it is not touched.
+func (t *Type) take(out *Value, v *Carried) error {
+	out.Given, out.Text = false, ""
 	switch {
-	case t.Kind == Text && v.Kind == Text && len(v.Text) <= t.Most:
-		out.Text = v.Text
-		return out, nil
 	case t.Kind == Text && v.Kind == Text:
-		return Value{}, fmt.Errorf("found %d bytes, expected at most %d", len(v.Text), t.Most)
+		if len(v.Text) > t.Most {
+			return fmt.Errorf("found %d bytes, expected at most %d", len(v.Text), t.Most)
+		}
+		out.Text = v.Text
 	case t.Kind == Set && v.Kind == Text:
 		place, is := t.place[v.Text]
 		if !is {
-			return Value{}, fmt.Errorf("found %.64q, expected a member of %s", v.Text, t.Name)
+			return fmt.Errorf("found %.64q, expected a member of %s", v.Text, t.Name)
 		}
 		out.Num = place
-		return out, nil
 	case t.Kind == v.Kind && (t.Kind == Whole || t.Kind == Span):
 		out.Num = v.Num
-		return out, nil
 	case t.Kind == Flag && v.Kind == Flag:
 		out.Num = min(1, max(0, v.Num))
-		return out, nil
 	case t.Kind == Measure && (v.Kind == Measure || v.Kind == Whole):
-		figure, u := v.Fig, t.Units[0]
+		figure := v.Fig
 		if v.Kind == Whole {
 			figure = float64(v.Num)
 		}
-		if v.Unit != "" {
+		if v.Unit != "" && v.Unit != t.Units[0].Name {
 			at := slices.IndexFunc(t.Units, func(u Unit) bool { return u.Name == v.Unit })
 			if at < 0 {
-				return Value{}, fmt.Errorf("found a figure in %.64q, expected a unit of %s", v.Unit, t.Name)
+				return fmt.Errorf("found a figure in %.64q, expected a unit of %s", v.Unit, t.Name)
 			}
-			u = t.Units[at]
+			figure = figure*t.Units[at].Scale + t.Units[at].Offset
+		} else if t.Units[0].Scale != 1 || t.Units[0].Offset != 0 {
+			figure = figure*t.Units[0].Scale + t.Units[0].Offset
 		}
-		if out.Fig = figure*u.Scale + u.Offset; !math.IsNaN(out.Fig) && !math.IsInf(out.Fig, 0) {
-			return out, nil
+		if math.IsNaN(figure) || math.IsInf(figure, 0) {
+			return fmt.Errorf("found %g, expected a finite figure", figure)
 		}
-		return Value{}, fmt.Errorf("found %g, expected a finite figure", out.Fig)
+		out.Fig = figure
+	default:
+		return fmt.Errorf("found %s, expected %v", kindNames[v.Kind], t)
 	}
-	return Value{}, fmt.Errorf("found %s, expected %v", kindNames[v.Kind], t)
+	out.Given = true
+	return nil
 }
 
 var kindNames = [...]string{Text: "a text", Whole: "a whole number", Flag: "a flag", Span: "a span", Measure: "a figure",
--- a/internal/match/table.go
+++ b/internal/match/table.go
@@ -23,6 +23,7 @@
 // Table is routes in order, compiled and indexed: its answer is always that of the first that matches.
 type Table struct {
 	Schema  *Schema
+	Needs   []bool // by attribute: some route names it, or it must be there. Others need not be put into records
 	Routes  []Route
 	Covered []Cover // routes that no transaction can reach
 	when    []*Predicate
@@ -67,6 +68,15 @@
 	return x, nil
 }
 
+// named are the places of the attributes that it names.
+func (x *Compiled) named() []int {
+	all := x.when.tree.attributes(nil)
+	if x.key != nil {
+		all = x.key.tree.attributes(all)
+	}
+	return all
+}
+
 // Cost is what its parts take at the most, in steps, and the most bytes of its key.
 func (x *Compiled) Cost() (when, key int64, bytes int) {
 	if x.key != nil {
@@ -77,8 +87,14 @@
 
 // NewTable indexes routes that were compiled by one checker, in their order.
 func NewTable(c *Checker, routes []*Compiled) *Table {
-	t := &Table{Schema: c.schema, words: (len(routes) + 63) / 64}
+	t := &Table{Schema: c.schema, Needs: make([]bool, len(c.schema.Attributes)), words: (len(routes) + 63) / 64}
+	for _, at := range c.schema.must {
+		t.Needs[at] = true
+	}
 	for _, x := range routes {
+		for _, at := range x.named() {
+			t.Needs[at] = true
+		}
 		t.Routes, t.compiled, t.when = append(t.Routes, x.route), append(t.compiled, x), append(t.when, x.when)
 	}
 	t.index()
@@ -245,11 +261,15 @@
 		at  int
 		way way
 	}
-	said := map[view]int{}
+	said, prefixes := map[view]int{}, map[int]bool{}
 	atoms := make([][]atom, len(t.when))
 	for i := range t.when {
 		for _, part := range t.compiled[i].parts {
-			atoms[i] = append(atoms[i], atomsOf(part)...)
+			of := atomsOf(part)
+			atoms[i] = append(atoms[i], of...)
+			if len(of) > 0 && of[0].way == byPrefix {
+				prefixes[of[0].at] = true
+			}
 		}
 		for _, a := range atoms[i] {
 			said[view{a.at, a.way}]++
@@ -257,7 +277,9 @@
 	}
 	var views []view
 	for v := range said {
-		views = append(views, v)
+		if v.way != byPrefix || prefixes[v.at] { // of equalities alone, prefixes tell nothing new
+			views = append(views, v)
+		}
 	}
 	slices.SortFunc(views, func(a, b view) int { // those that most routes speak of; ties by place
 		return cmp.Or(cmp.Compare(said[b], said[a]), cmp.Compare(a.at, b.at), cmp.Compare(a.way, b.way))
--- a/internal/sentry/routing.go
+++ b/internal/sentry/routing.go
@@ -22,12 +22,15 @@
 
 // judge is what reading and matching one transaction needs.
 type judge struct {
+	book   *routes.Book
 	record *match.Record
 	reader wire.AttributeReader
 	key    []byte
 	nth    int   // attribute of this transaction
 	order  []int // places of the attributes, as the last one had them: most clients keep to one order
-	each   func(name []byte, v *match.Carried)
+	at     int   // of the attribute in hand
+	wanted func(name []byte) bool
+	put    func(v *match.Carried)
 
 	unknown, misfits int
 }
@@ -39,22 +42,9 @@
 	}
 	r := &routing{book: b}
 	r.spare.New = func() any {
-		j := &judge{record: b.Schema.NewRecord(), order: make([]int, len(b.Schema.Attributes))}
-		j.each = func(name []byte, v *match.Carried) {
-			var at int
-			switch n := j.nth; {
-			case n < len(j.order) && j.order[n] >= 0 && b.Schema.Attributes[j.order[n]].Name == string(name):
-				at = j.order[n]
-			case n < len(j.order):
-				at = b.Schema.At(name)
-				j.order[n] = at
-			default:
-				at = b.Schema.At(name)
-			}
-			j.nth++
-			if at < 0 {
-				j.unknown++
-			} else if b.Schema.Put(j.record, at, v) != nil {
+		j := &judge{book: b, record: b.Schema.NewRecord(), order: make([]int, len(b.Schema.Attributes))}
+		j.wanted, j.put = j.want, func(v *match.Carried) {
+			if b.Schema.Put(j.record, j.at, v) != nil {
 				j.misfits++
 			}
 		}
@@ -63,6 +53,23 @@
 	return r
 }
 
+// want finds an attribute's place, and says whether anything depends on it.
+func (j *judge) want(name []byte) bool {
+	s, n := j.book.Schema, j.nth
+	j.nth++
+	if n >= len(j.order) {
+		j.at = s.At(name)
+	} else if j.at = j.order[n]; j.at < 0 || s.Attributes[j.at].Name != string(name) {
+		j.at = s.At(name)
+		j.order[n] = j.at
+	}
+	if j.at < 0 {
+		j.unknown++
+		return false
+	}
+	return j.book.Table.Needs[j.at]
+}
+
 // Why a transaction with attributes is not taken.
 const (
 	notAbsent = iota + 1 // an attribute that must be there is missing
@@ -83,7 +90,7 @@
 	defer r.spare.Put(j)
 	j.record.Clear()
 	j.nth, j.unknown, j.misfits = 0, 0, 0
-	if err := j.reader.Read(attributes, j.each); err != nil {
+	if err := j.reader.Read(attributes, j.wanted, j.put); err != nil {
 		return fault("attributes that can't be read", "a message as the schema has it")
 	}
 	if j.unknown > 0 {
--- a/internal/sentry/routing_test.go
+++ b/internal/sentry/routing_test.go
@@ -13,6 +13,7 @@
 
 	"scalechute/internal/match"
 	"scalechute/internal/orders"
+	"scalechute/internal/routes"
 	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
 )
@@ -281,3 +282,22 @@
 		t.Errorf("too little for this to say anything: tables %v, %d hand-offs of %d transactions", tables, handOffs, len(by))
 	}
 }
+
+func BenchmarkJudged(b *testing.B) {
+	book, err := routes.Parse("r.hcl", []byte("profile \"read\" {}\n"+routesText+route("cold", "temp < celsius(8) && id.startsWith('x')", "id", "read")+
+		route("all", "kind == kind.reading", "id", "read")))
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &Sentry{}
+	s.routing.Store(newRouting(book))
+	body := attribute(attribute(words("kind", "reading", "id", "0123456789abcdef"), "temp", match.Carried{Kind: match.Measure, Fig: 4, Unit: "celsius"}),
+		"legs", match.Carried{Kind: match.List, Items: []match.Carried{{Kind: match.Whole, Num: 4}, {Kind: match.Whole, Num: 9}}})
+	var e event
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := s.judged(&e, body); err != nil || e.unrouted != 0 {
+			b.Fatal(err, e.unrouted)
+		}
+	}
+}
--- a/internal/wire/attributes.go
+++ b/internal/wire/attributes.go
@@ -79,18 +79,35 @@
 // mostItems bounds what is kept of a list: with more it is too long for any declared one.
 const mostItems = 1025
 
-// Read calls a function for each attribute of a body.
-func (r *AttributeReader) Read(b []byte, each func(name []byte, v *match.Carried)) error {
+// Read calls a function for each attribute of a body. Those whose name is not wanted, when it comes first as it does from
+// most senders, are passed over unread.
+func (r *AttributeReader) Read(b []byte, wanted func(name []byte) bool, each func(v *match.Carried)) error {
 	return eachEntry(b, func(body []byte) error {
-		r.items = r.items[:0]
-		name, err := r.one(body, &r.v, true)
-		if err == nil {
-			each(name, &r.v)
+		if len(body) > 1 && body[0] == 1<<3|byte(protowire.BytesType) && body[1] < 0x80 && len(body) >= 2+int(body[1]) {
+			name := body[2 : 2+int(body[1])]
+			body = body[2+len(name):]
+			if !wanted(name) {
+				return nil
+			}
+			_, err := r.read(body)
+			if err == nil {
+				each(&r.v)
+			}
+			return err
+		}
+		name, err := r.read(body)
+		if err == nil && wanted(name) {
+			each(&r.v)
 		}
 		return err
 	})
 }
 
+func (r *AttributeReader) read(body []byte) (name []byte, err error) {
+	r.items = r.items[:0]
+	return r.one(body, &r.v, true)
+}
+
 // field is one field of a message. Short ones, which most are, are read without protowire's steps.
 type field struct {
 	is     protowire.Number
@@ -150,7 +167,7 @@
 
 // one reads an attribute. A list within a list has no elements for it: no declared type takes one.
 func (r *AttributeReader) one(b []byte, v *match.Carried, lists bool) (name []byte, err error) {
-	*v = match.Carried{}
+	v.Kind, v.Text, v.Unit, v.Items = match.Text, "", "", nil // what else is left in it belongs to other kinds
 	var f field
 	for len(b) > 0 {
 		if b, err = next(b, &f); err != nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -94,9 +94,9 @@
 // readBack holds what the reader gives against what was written.
 func readBack(t *rapid.T, body []byte, written *pb.Attributes) {
 	var r AttributeReader
-	n := 0
-	err := r.Read(body, func(name []byte, v *match.Carried) {
-		if want := written.All[n]; !proto.Equal(generated(string(name), v), want) {
+	n, name := 0, ""
+	err := r.Read(body, func(b []byte) bool { name = string(b); return true }, func(v *match.Carried) {
+		if want := written.All[n]; !proto.Equal(generated(name, v), want) {
 			t.Fatalf("read %s %+v, wrote %v", name, v, want)
 		}
 		n++
@@ -113,7 +113,7 @@
 	f.Add([]byte{10, 4, 58, 2, 10, 0})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var r AttributeReader
-		err := r.Read(data, func(_ []byte, v *match.Carried) {
+		err := r.Read(data, func([]byte) bool { return true }, func(v *match.Carried) {
 			if len(v.Items) > mostItems {
 				t.Errorf("%d elements", len(v.Items))
 			}
