Read: nesting and operators of a file are bounded before HCL parses it

HCL's parser goes down a level for each bracket, unary operator, conditional and template directive: a file of 3 million brackets overflowed the stack, which ends a running sentry that only meant to read its routes anew.

Spans below a microsecond and the negation of the least whole number are refused too.

--- a/internal/hclread/read.go
+++ b/internal/hclread/read.go
@@ -50,6 +50,13 @@
 
 // Open reads and parses a file.
 func Open(name string) (*File, error) {
+	info, err := os.Stat(name)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > mostBytes {
+		return nil, fmt.Errorf("%s: found %d bytes, expected at most %d", name, info.Size(), mostBytes)
+	}
 	source, err := os.ReadFile(name)
 	if err != nil {
 		return nil, err
@@ -59,6 +66,9 @@
 
 // Parse is Open for what was read already.
 func Parse(name string, source []byte) (*File, error) {
+	if line, what := tooDeep(source); line > 0 {
+		return nil, Faults{{name, line, 1, what}}
+	}
 	parsed, diags := hclsyntax.ParseConfig(source, name, hcl.InitialPos)
 	f := &File{Name: name, Source: source, faults: &Faults{}}
 	if diags.HasErrors() {
--- a/internal/match/check.go
+++ b/internal/match/check.go
@@ -522,8 +522,8 @@
 		}
 	case "span":
 		d, err := time.ParseDuration(n.args[0].value.Text)
-		if n.args[0].op != opConst || err != nil {
-			return nil, b.fault(n.where, "found a span that is no constant such as \"250ms\"")
+		if n.args[0].op != opConst || err != nil || d%time.Microsecond != 0 {
+			return nil, b.fault(n.where, "found a span that is no constant such as \"250ms\" in whole microseconds")
 		}
 		return &node{of: spanType, where: n.where, cost: 1, value: Value{Given: true, Num: d.Microseconds()}}, nil
 	case operators.Negate:
@@ -531,6 +531,9 @@
 			return nil, b.fault(n.where, "found - before what is no constant, expected a number")
 		}
 		v := n.args[0].value
+		if v.Num == math.MinInt64 {
+			return nil, b.fault(n.where, "found a number beyond the whole numbers of 64 bits")
+		}
 		v.Num, v.Fig = -v.Num, -v.Fig
 		return &node{of: n.args[0].of, where: n.where, cost: 1, value: v}, nil
 	default:
--- a/internal/match/match_test.go
+++ b/internal/match/match_test.go
@@ -137,6 +137,8 @@
 		{`temps == temps`, "found a comparison of lists"}, {`[1].exists(x, x == 1)`, "what this language does not have"},
 		{`size in [size]`, "no constant in a list"}, {`temp > celsius(1e999)`, "invalid double literal"}, {`temp > celsius(-1e308 )  && temp < fahrenheit(1e308) && size == 99999999999999999999`, "invalid int literal"},
 		{`given(hash(id))`, "given of what is no attribute"}, {`age > span(id)`, "no constant such as"}, {`age > span("1 day")`, "no constant such as"},
+		{`age > span("1ns")`, "in whole microseconds"}, {`size == -(-9223372036854775808)`, "beyond the whole numbers"}, {`size == -9223372036854775808`, ""},
+		{`load > tonne(1e306)`, "expected a finite figure"}, {`load > tonne(1e305)`, ""},
 		{"urgent\x00", "found NUL"}, {"urgent && \xff", "no UTF-8"}, {`uгgent`, "Syntax error"}, {``, "Syntax error"},
 		{deep(100_000, "(", ")"), "1:1: expression code point size exceeds limit"}, {deep(100_000, "!", ""), "exceeds limit"},
 		{deep(10_000, "(", ")"), "recursion"}, {deep(10_000, "!(", ")"), "recursion"}, {deep(60, "!(", ")"), ""},
--- a/internal/match/schema.go
+++ b/internal/match/schema.go
@@ -290,7 +290,9 @@
 		}
 	case Span:
 		var d time.Duration
-		d, err = time.ParseDuration(text)
+		if d, err = time.ParseDuration(text); err == nil && d%time.Microsecond != 0 {
+			err = strconv.ErrRange
+		}
 		v.Kind, v.Num = Span, d.Microseconds()
 	case Measure:
 		figure, unit, _ := strings.Cut(text, " ")
