Match: a table without what it says it does not need answers the same

Sentries pass over attributes that a table does not need, and nothing held that claim against the answers.

The property test of tables takes them away and asks again, for route and key.

It fails when the claim is made to leave out what the conditions name.

--- a/internal/match/table_test.go
+++ b/internal/match/table_test.go
@@ -1,6 +1,7 @@
 package match
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"math/rand"
@@ -45,6 +46,18 @@
 			if got := tab.First(r); got != want || covered[got] {
 				t.Fatalf("route %d, by the reference %d, covered %v, of %+v\n%v", got, want, covered[got], r.values, routes)
 			}
+			var key []byte
+			if want >= 0 {
+				key = tab.AppendKey(want, nil, r)
+			}
+			for at, needed := range tab.Needs { // without what it says it does not need, it answers the same
+				if !needed {
+					r.values[at] = Value{}
+				}
+			}
+			if got := tab.First(r); got != want || got >= 0 && !bytes.Equal(key, tab.AppendKey(got, nil, r)) {
+				t.Fatalf("route %d without what is not needed, %d with it\n%v", got, want, routes)
+			}
 		}
 	})
 }
