Plan: plan files checked whole, and when each wave can begin at the earliest

Steps of a release that can never come (a window that does not open, votes or approvals that nobody can give, caps that fall) are to be refused before the release, with file and line.

--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -32,7 +32,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(sentryCommand(), checkCommand(), drillCommand(), matchCommand(), measureCommand())
+	c.AddCommand(sentryCommand(), checkCommand(), drillCommand(), matchCommand(), measureCommand(), planCommand())
 	return c
 }
 
--- /dev/null
+++ b/internal/release/read_test.go
@@ -0,0 +1,86 @@
+package release
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+var now = time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+
+func example(t *testing.T) string {
+	data, err := os.ReadFile("../../deploy/plan.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func TestTheExample(t *testing.T) {
+	p, err := Parse("plan.hcl", []byte(example(t)), now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	begins, whole := p.Earliest(now)
+	for i, want := range []string{"2026-12-01 14:00", "2026-12-01 14:30", "2026-12-02 14:00"} { // 09:00 in Kingston; the second misses the day
+		if got := begins[i].Format("2006-01-02 15:04"); got != want {
+			t.Errorf("wave %d begins at %s, expected %s", i, got, want)
+		}
+	}
+	if got := whole.Format("2006-01-02 15:04"); got != "2026-12-02 16:00" {
+		t.Errorf("whole at %s", got)
+	}
+	if s := p.Summary(1); s != "in office hours; after two of the owners; without handover" {
+		t.Error(s)
+	}
+}
+
+// What a plan can never come to is refused with its place, as is what can't be read.
+func TestFaults(t *testing.T) {
+	for _, x := range [][3]string{
+		{`days   = ["mon", "tue", "wed", "thu"]`, `days = []`, "plan.hcl:13:1: found a window that does not open in three years"},
+		{`except = ["2026-12-24 to 2027-01-03"]`, `except = ["2020-01-01 to 2099-12-31"]`, "windows: found a wave that no window can reach"},
+		{`cap       = 0.6`, `cap = 0.1`, "cap: found 0.1 after 0.2 of first, expected none to fall"},
+		{`share     = 0.5`, `share = 0.05`, "share: found 0.05 after 0.1 of first"},
+		{`count = 2`, `count = 4`, "count: found 4, expected at most the 3 members of owners: nobody may give it"},
+		{`on_votes  = 3`, `on_votes = 5`, "on_votes: found 5, expected at most the 4 sentries: they can never come"},
+		{`back_votes = 2`, `back_votes = 5`, "back_votes: found 5, expected at most the 4 sentries"},
+		{`approvals = ["two of the owners"]`, ``, "found an approval that no wave asks for"},
+		{`approvals = ["two of the owners"]`, `approvals = ["one"]`, `approvals: found "one", expected some of [two of the owners]`},
+		{`guard     = ["handover"]`, `guard = ["reading"]`, `guard: found reading, which first does not guard`},
+		{`guard     = ["handover"]`, `guard = ["hand"]`, `guard: found "hand", expected some of [reading handover]`},
+		{`cap     = 1`, `cap = 0.9`, "the release would never be whole"},
+		{`zone   = "America/Jamaica"`, `zone = "Kingston"`, `zone: found "Kingston", expected a name as Europe/Berlin`},
+		{`zone   = "America/Jamaica"`, `zone = "Local"`, `zone: found "Local"`},
+		{`from   = "09:00"`, `from = "9"`, `from: found "9", expected a time as 09:30`},
+		{`except = ["2026-12-24 to 2027-01-03"]`, `except = ["christmas"]`, `except: found "christmas", expected a date`},
+		{`wave "whole"`, `wave "first"`, "wave first stands twice"}, {`group "owners"`, `group "owner"`, `group: found "owners", expected one of owner`},
+		{`"release-1", "release-2"`, `"release-1", "release-1"`, `members: found "release-1" twice`},
+		{`plan "`, `plans "`, "found 0 blocks plan, expected one"}, {`bake       = "30m"`, `bake = "30"`, `bake: found "30", expected a span`},
+		{`valid = "8h"`, `valid = "1s"`, `valid: found "1s", expected a span from 1m0s`},
+		{`team = "cold chain"`, `team = ["a"]`, "labels: found a list as team"},
+	} {
+		text := strings.Replace(example(t), x[0], x[1], 1)
+		if text == example(t) {
+			t.Fatalf("%q is not in the file", x[0])
+		}
+		if _, err := Parse("plan.hcl", []byte(text), now); err == nil || !strings.Contains(err.Error(), x[2]) {
+			t.Errorf("%s: %v\nexpected %s", x[1], err, x[2])
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	data, err := os.ReadFile("../../deploy/plan.hcl")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(string(data))
+	f.Fuzz(func(t *testing.T, text string) {
+		p, err := Parse("f.hcl", []byte(text), now)
+		if err == nil {
+			p.Earliest(now)
+		}
+	})
+}
