--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -6,14 +6,15 @@
 	"slices"
 	"strings"
 	"time"
-
-	"scalechute/logic"
 )
 
+// Build is a build's number; a later one has a higher.
+type Build int
+
 // Plan is how one release goes. Places among windows, approvals and groups are their indexes.
 type Plan struct {
 	Name      string
-	Build     logic.BuildID
+	Build     Build
 	Sentries  int      // that may vote
 	Profiles  []string // that waves may guard
 	Labels    map[string]string
--- a/internal/release/read.go
+++ b/internal/release/read.go
@@ -97,7 +97,7 @@
 func (r *reader) head(b *hclread.Body) {
 	r.blocks["plan"] = []*hclread.Body{b}
 	r.p.Name = b.Labels[0]
-	r.p.Build = logic.BuildID(b.Whole("build", true, 1, 1, 65535))
+	r.p.Build = plan.Build(b.Whole("build", true, 1, 1, 65535))
 	r.p.Sentries = b.Whole("sentries", true, 1, 1, 100_000)
 	r.p.Labels = map[string]string{}
 	if b.Has("profiles") {
