--- a/internal/plan/release.go
+++ b/internal/plan/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -266,3 +267,23 @@
 	}
 	return true
 }
+
+// Standing is what holds at present: what a desk that comes back tells again and asks of the fleet again.
+func (r *Release) Standing() []Effect {
+	s := &r.State
+	tell := Effect{Kind: Tell, Phase: s.Phase, Wave: s.Wave, Cap: s.Cap}
+	switch s.Phase {
+	case OnTrial, Released:
+		return []Effect{tell, {Kind: Move, Share: r.Plan.Waves[s.Wave].Share}}
+	case GoingBack, Withdrawn: // the fleet is moved when Heard says so
+		return []Effect{tell}
+	}
+	return nil
+}
+
+// Clone is a copy that shares nothing with its original.
+func (s *State) Clone() State {
+	c := *s
+	c.Votes, c.Grants, c.Seen = maps.Clone(s.Votes), slices.Clone(s.Grants), maps.Clone(s.Seen)
+	return c
+}
