Match: texts are cut with the blanks of cel-go, not with more of them

Fuzzing found a text that was taken when cut at its ands and refused whole: a vertical tab after one, which trimming took away.

Parts are trimmed of what cel-go passes over, and no more.

--- a/internal/match/check.go
+++ b/internal/match/check.go
@@ -228,6 +228,9 @@
 	return n, err
 }
 
+// blanks are what cel-go passes over; it refuses others, such as a vertical tab.
+const blanks = " \t\r\n\f"
+
 // conjuncts cuts a text at the ands that stand outside of all brackets and quotes. Where it is not sure that these parts
 // mean what the whole does, the whole is the only part.
 func conjuncts(text string) (parts []string) {
@@ -253,7 +256,7 @@
 			}
 		case '&':
 			if depth == 0 && strings.HasPrefix(text[i:], "&&") {
-				parts = append(parts, strings.TrimSpace(text[from:i]))
+				parts = append(parts, strings.Trim(text[from:i], blanks))
 				i++
 				from = i + 1
 			}
@@ -262,7 +265,7 @@
 	if depth != 0 {
 		return whole
 	}
-	return append(parts, strings.TrimSpace(text[from:]))
+	return append(parts, strings.Trim(text[from:], blanks))
 }
 
 // whole parses, checks and builds a text.
--- a/internal/match/match_test.go
+++ b/internal/match/match_test.go
@@ -316,7 +316,8 @@
 	for _, text := range []string{`urgent && size > 3 && (urgent || id == "a && b")`, `id == "a" && !urgent`, `urgent && kind == '"' && size in [1, 2]`,
 		`urgent &&`, `&& urgent`, `urgent && (urgent`, `urgent && "`, `urgent && id == r"\\" && urgent`, `urgent && urgent // && size`,
 		`urgent ? urgent : size > 3 && urgent`, `urgent && urgent ? urgent : urgent`, `urgent || urgent && urgent`, `urgent && """a""" == id`,
-		"urgent && id == 'a\n' && urgent", `urgent && id.startsWith("a") && tags.exists(x, x == id && urgent)`, `urgent && size`, `urgent) && (urgent`} {
+		"urgent && id == 'a\n' && urgent", `urgent && id.startsWith("a") && tags.exists(x, x == id && urgent)`, `urgent && size`, `urgent) && (urgent`,
+		"id != \"0\" &&\vurgent", "urgent &&\u00a0urgent", "urgent &&\furgent\t&& size > 3\n"} {
 		f.Add(text)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
