Tests: a client leaves only after all it asked has been taken

Under load a client of the test closed its link before its last transactions were written, and waited for five that left where fewer had come.

It waits for the sentry to have taken them.

--- a/internal/sentry/sentry_test.go
+++ b/internal/sentry/sentry_test.go
@@ -169,6 +169,7 @@
 		c.ask(id, 2)
 	}
 	r.wait("hand-offs", func() bool { return r.s.Count("hand_offs_total")["0"] == 2 })
+	r.wait("the others", func() bool { return r.seen(input.TransactionCame) == 6 }) // what a link has not written goes with it
 	c.link.Close(wire.ErrClosed)
 	r.wait("five clients that left", func() bool { return r.seen(input.ClientLeft) == 5 })
 	close(release)
