--- a/cmd/scalechute/measure.go
+++ b/cmd/scalechute/measure.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -75,7 +76,7 @@
 		Args: cobra.NoArgs,
 		RunE: prepared(func(w io.Writer) error {
 			plan.Clients, plan.Window, plan.Rate = 16, 4, 0
-			ratio, core := 0.0, 0.0
+			var ratios, cores []float64
 			for range rounds {
 				plan.Routes = 0
 				plain, err := measure.Sentry(plan)
@@ -88,13 +89,17 @@
 					return err
 				}
 				measure.Print(w, plain, by)
-				ratio, core = ratio+by.PerSecond/plain.PerSecond/float64(rounds), core+by.PerCore/plain.PerCore/float64(rounds)
+				ratios, cores = append(ratios, by.PerSecond/plain.PerSecond), append(cores, by.PerCore/plain.PerCore)
 			}
-			fmt.Fprintf(w, "%d routes to none: throughput %.3f, for a second of one core %.3f\n", most, ratio, core)
+			slices.Sort(ratios)
+			slices.Sort(cores)
+			n := len(ratios)
+			fmt.Fprintf(w, "%d routes to none: throughput %.3f (%.3f to %.3f), for a second of one core %.3f (%.3f to %.3f); median and range\n",
+				most, ratios[n/2], ratios[0], ratios[n-1], cores[n/2], cores[0], cores[n-1])
 			return nil
 		}),
 	}
-	routed.Flags().IntVar(&rounds, "rounds", 3, "how often each is measured")
+	routed.Flags().IntVar(&rounds, "rounds", 5, "how often each is measured")
 	routed.Flags().IntVar(&most, "routes", 100, "routes")
 	routed.Flags().StringVar(&plan.Profile, "profile", "", "file for a processor profile of the last sentry")
 	crowd := &cobra.Command{
