Reread: quiet ticks are not written, one way to keep a figure, members found at once

A reread found work repeated: a desk's tick that comes to nothing cost a commit to disk, each event two copies of the whole state, every node printed a map of its own, a set's member was looked for one by one, and figures were brought into the first unit in two places.

Quiet ticks are given up before the write, a refusal puts back the clock alone, the plan's sum is taken once; the rest is done once or looked up. The schedules' test fails if none goes all the way back.

--- a/internal/match/check.go
+++ b/internal/match/check.go
@@ -397,11 +397,9 @@
 		return n, nil
 	}
 	if set, member, is := strings.Cut(name, "."); is && b.c.types[set] != nil {
-		for i, m := range b.c.types[set].Names {
-			if m == member {
-				n.of, n.value = b.c.types[set], Value{Given: true, Num: int64(i)}
-				return n, nil
-			}
+		if place, is := b.c.types[set].place[member]; is {
+			n.of, n.value = b.c.types[set], Value{Given: true, Num: place}
+			return n, nil
 		}
 	}
 	return nil, b.fault(n.where, "found %q, expected a declared name", name)
@@ -555,11 +553,11 @@
 	if a.of.Kind == Whole {
 		figure = float64(a.value.Num)
 	}
-	v := Value{Given: true, Fig: figure*u.Scale + u.Offset}
-	if math.IsNaN(v.Fig) || math.IsInf(v.Fig, 0) {
-		return nil, b.fault(n.where, "found %g, expected a finite figure", v.Fig)
+	kept, err := u.kept(figure)
+	if err != nil {
+		return nil, b.fault(n.where, "%v", err)
 	}
-	return &node{of: u.of, where: n.where, cost: 1, value: v}, nil
+	return &node{of: u.of, where: n.where, cost: 1, value: Value{Given: true, Fig: kept}}, nil
 }
 
 // member is membership in a list of constants.
--- a/internal/match/explain.go
+++ b/internal/match/explain.go
@@ -6,6 +6,9 @@
 	"strings"
 )
 
+// infix are the operators that stand between their two sides.
+var infix = [opAll + 1]string{opAnd: "&&", opOr: "||", opEqual: "==", opUnequal: "!=", opLess: "<", opAtMost: "<=", opJoin: "+"}
+
 // text writes a node in the language, so that nodes that mean different things read differently. Named expressions
 // stand by their names or in full.
 func (n *node) text(names bool) string {
@@ -13,7 +16,6 @@
 		return n.named
 	}
 	arg := func(i int) string { return n.args[i].text(names) }
-	infix := map[op]string{opAnd: "&&", opOr: "||", opEqual: "==", opUnequal: "!=", opLess: "<", opAtMost: "<=", opJoin: "+"}
 	switch n.op {
 	case opConst:
 		if n.of.Kind == Span {
@@ -41,7 +43,10 @@
 	case opGiven:
 		return "given(" + arg(0) + ")"
 	case opAny, opAll:
-		how := map[op]string{opAny: "exists", opAll: "all"}[n.op]
+		how := "exists"
+		if n.op == opAll {
+			how = "all"
+		}
 		return fmt.Sprintf("%s.%s(element%d, %s)", arg(0), how, n.at, arg(1))
 	}
 	part := func(i int) string { // of another operator, in brackets
--- a/internal/plan/release_test.go
+++ b/internal/plan/release_test.go
@@ -253,4 +253,7 @@
 		}
 	})
 	t.Logf("%d released, %d withdrawn", released, withdrawn)
+	if withdrawn == 0 {
+		t.Error("no schedule went all the way back: too little for this to say anything")
+	}
 }
--- a/internal/release/store.go
+++ b/internal/release/store.go
@@ -24,6 +24,7 @@
 	sum     uint64 // of the last record
 	since   int    // events since the snapshot
 	every   int
+	plan    uint64 // sum of the plan
 }
 
 // StoreFault says that a file can't be relied on, and what to do.
@@ -49,7 +50,7 @@
 
 // OpenStore opens a file or begins one, and has the release where it was. A snapshot is taken after so many events.
 func OpenStore(file string, r *plan.Release, every int) (s *Store, err error) {
-	s = &Store{release: r, every: every}
+	s = &Store{release: r, every: every, plan: planSum(r.Plan)}
 	defer func() {
 		if err != nil {
 			if s.db != nil {
@@ -58,7 +59,6 @@
 			s = nil
 		}
 	}()
-	known := planSum(r.Plan)
 	if data, bad := os.ReadFile(file); bad == nil {
 		if bad := checkPages(data); bad != nil {
 			return s, &StoreFault{file, bad.Error()}
@@ -85,9 +85,9 @@
 			if k, _ := events.Cursor().First(); k != nil {
 				return &StoreFault{file, "events without the snapshot before them"}
 			}
-			return s.snapshot(tx, known)
+			return s.snapshot(tx)
 		}
-		return s.load(file, head, events, known)
+		return s.load(file, head, events)
 	})
 	return s, err
 }
@@ -105,13 +105,13 @@
 }
 
 // load takes the snapshot and the events after it.
-func (s *Store) load(file string, head, events *bbolt.Bucket, known uint64) error {
+func (s *Store) load(file string, head, events *bbolt.Bucket) error {
 	text := head.Get(snapshotKey)
 	var snap snapshot
 	if len(text) < 8 || binary.BigEndian.Uint64(text) != xxh3.Hash(text[8:]) || json.Unmarshal(text[8:], &snap) != nil {
 		return &StoreFault{file, "a snapshot that does not agree with its sum"}
 	}
-	if snap.Plan != known {
+	if snap.Plan != s.plan {
 		return fmt.Errorf("%s: found the state of another plan, expected that of %s; a plan that has begun is not changed", file, s.release.Plan.Name)
 	}
 	s.release.State, s.next, s.sum = snap.State, snap.Next, snap.Sum
@@ -136,20 +136,27 @@
 
 func chain(before uint64, text []byte) uint64 { return xxh3.HashSeed(text, before) }
 
-// Step takes events in their order. Those that the plan refuses are not kept; the others are on disk when their effects
+// errQuiet gives a write up that has nothing to write.
+var errQuiet = errors.New("nothing to keep")
+
+// Step takes events in their order. Those that the plan refuses, and ticks that come to nothing, are not kept; the others are on disk when their effects
 // come back. If the disk does not take them the release stands where it stood, and nothing may be told.
 func (s *Store) Step(all ...*plan.Event) (effects []plan.Effect, refused []error, err error) {
 	before, next, sum, since := s.release.State.Clone(), s.next, s.sum, s.since
 	err = s.db.Update(func(tx *bbolt.Tx) error {
 		events := tx.Bucket(eventsBucket)
 		for _, e := range all {
-			now := s.release.State.Clone()
+			now := s.release.State.Now
 			es, no := s.release.Step(e)
 			if no != nil {
-				s.release.State = now // a refusal leaves no trace, so that a replay without it comes to the same
+				s.release.State.Now = now // a refusal leaves no trace, so that a replay without it comes to the same
 				refused = append(refused, no)
 				continue
 			}
+			if e.Kind == plan.Ticked && len(es) == 0 {
+				s.release.State.Now = now // nothing but time has passed: not worth a write
+				continue
+			}
 			text, err := json.Marshal(e)
 			if err != nil {
 				return err
@@ -162,12 +169,15 @@
 			s.since++
 			effects = append(effects, es...)
 		}
+		if s.next == next {
+			return errQuiet
+		}
 		if s.since >= s.every {
-			return s.snapshot(tx, planSum(s.release.Plan))
+			return s.snapshot(tx)
 		}
 		return nil
 	})
-	if err != nil {
+	if err != nil && !errors.Is(err, errQuiet) {
 		s.release.State, s.next, s.sum, s.since = before, next, sum, since
 		return nil, nil, err
 	}
@@ -175,8 +185,8 @@
 }
 
 // snapshot writes the state and forgets the events before it.
-func (s *Store) snapshot(tx *bbolt.Tx, known uint64) error {
-	text, err := json.Marshal(&snapshot{known, s.next, s.sum, s.release.State})
+func (s *Store) snapshot(tx *bbolt.Tx) error {
+	text, err := json.Marshal(&snapshot{s.plan, s.next, s.sum, s.release.State})
 	if err != nil {
 		return err
 	}
