Match: faults say what would fit, and name the part that costs most

The issue wants each fault with what was found and what fits; undeclared names and types that do not go together told only the first, and a cost beyond the limit only the place of its dearest part.

An undeclared name comes with those that are known, a comparison of two types with the units that a figure may have, a cost with the text of its part.

The table of faults in the tests asks for each.

--- a/internal/match/check.go
+++ b/internal/match/check.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"iter"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -296,27 +299,54 @@
 			}
 		}
 	}
-	what := "here"
-	if worst.named != "" {
-		what = "in " + worst.named
-	}
-	return b.fault(worst.where, "found a cost of %d steps, most of it %s, expected at most %d", n.cost, what, b.c.limit)
+	return b.fault(worst.where, "found a cost of %d steps, most of it in %.60s, expected at most %d", n.cost, worst.text(true), b.c.limit)
 }
 
-// explain adds to cel-go's word what would fit.
+// explain says in this language's words what cel-go found, and what would fit.
 func (c *Checker) explain(message string) string {
 	message = strings.ReplaceAll(message, "\n", " ")
-	_, rest, _ := strings.Cut(message, "undeclared reference to '")
-	name, _, _ := strings.Cut(rest, "'")
-	t := c.types[name]
-	if t == nil || t.Kind != Set {
-		return message
+	if _, rest, is := strings.Cut(message, "undeclared reference to '"); is {
+		name, _, _ := strings.Cut(rest, "'")
+		if t := c.types[name]; t != nil && t.Kind == Set {
+			return fmt.Sprintf("found a member that %s does not have, expected one of %s", name, few(t.Names))
+		}
+		var known []string
+		for n := range c.schema.at {
+			known = append(known, n)
+		}
+		for _, names := range []iter.Seq[string]{maps.Keys(c.named), maps.Keys(c.units), maps.Keys(c.types)} {
+			known = slices.AppendSeq(known, names)
+		}
+		slices.Sort(known)
+		return fmt.Sprintf("%s, expected one of %s", Undeclared(name), few(known))
+	}
+	if _, rest, is := strings.Cut(message, "found no matching overload for '"); is {
+		name, rest, _ := strings.Cut(rest, "' applied to '")
+		sides, _, _ := strings.Cut(rest, "'")
+		fits := "sides of one type"
+		for name, t := range c.types {
+			if t.Kind == Measure && strings.Contains(sides, name) {
+				var units []string
+				for _, u := range t.Units {
+					units = append(units, u.Name+"(...)")
+				}
+				fits = fmt.Sprintf("%s; a figure of %s as %s", fits, name, few(units))
+			}
+		}
+		return fmt.Sprintf("found no matching overload for '%s' applied to '%s', expected %s", name, sides, fits)
 	}
-	members := t.Names
-	if len(members) > 20 {
-		members = append(members[:20:20], "...")
+	return message
+}
+
+// Undeclared begins what is said of a name that nobody declared.
+func Undeclared(name string) string { return "undeclared reference to '" + name + "'" }
+
+// few names the first of many.
+func few(names []string) string {
+	if len(names) > 20 {
+		names = append(names[:20:20], "...")
 	}
-	return fmt.Sprintf("found a member that %s does not have, expected one of %s", name, strings.Join(members, ", "))
+	return strings.Join(names, ", ")
 }
 
 type element struct {
--- a/internal/match/match_test.go
+++ b/internal/match/match_test.go
@@ -130,7 +130,8 @@
 		{`temp == depot`, "1:6: found no matching overload for '_==_' applied to '(temperature, site)'"},
 		{`depot == truck.van`, "1:7: found no matching overload for '_==_' applied to '(site, truck)'"},
 		{`depot == site.moon`, "1:10: found a member that site does not have, expected one of kingston, mandeville, may_pen"},
-		{`urgent && temp > kelvin(3)`, "1:24: undeclared reference to 'kelvin'"}, {`temp > 8`, "no matching overload"},
+		{`urgent && temp > kelvin(3)`, "1:24: undeclared reference to 'kelvin', expected one of age, celsius, class, depot, fahrenheit"},
+		{`temp > 8`, "'(temperature, int)', expected sides of one type; a figure of temperature as celsius(...), fahrenheit(...)"},
 		{`temp > kg(8)`, "no matching overload for '_>_' applied to '(temperature, weight)'"}, {`size == "a"`, "no matching overload"},
 		{`depot < home`, "no matching overload"}, {`cargo == 1`, "undeclared reference to 'cargo'"}, {`size`, "found a whole number, expected true or false"},
 		{`size + 1 == 2`, "no matching overload"}, {`size / 0 == 1`, "undeclared reference to '_/_'"}, {`id.matches("a*")`, "undeclared reference to 'matches'"},
@@ -143,7 +144,7 @@
 		{deep(100_000, "(", ")"), "1:1: expression code point size exceeds limit"}, {deep(100_000, "!", ""), "exceeds limit"},
 		{deep(10_000, "(", ")"), "recursion"}, {deep(10_000, "!(", ")"), "recursion"}, {deep(60, "!(", ")"), ""},
 		{strings.Repeat("urgent || ", 110_000) + "urgent", "exceeds limit"}, {doubling + ` == "a"`, "found a text of up to"},
-		{`temps.exists(a, temps.exists(b, temps.exists(c, a > b && b > c)))`, "found a cost of"},
+		{`temps.exists(a, temps.exists(b, temps.exists(c, a > b && b > c)))`, "most of it in temps.exists(element0, temps.exists("},
 		{`stops.exists(a, stops.exists(b, stops.exists(c, stops.exists(d, stops.exists(e, a == b)))))`, "nested deeper than 4"},
 		{`{"a": 1}.a == 1`, "what this language does not have"}, {`urgent.foo`, "1:7"}, {`1.5 == 1.5`, ""},
 	} {
--- a/internal/routes/read.go
+++ b/internal/routes/read.go
@@ -248,7 +248,7 @@
 			f := err.(*match.RouteFault)
 			bad = true
 			if slices.ContainsFunc(r.faulty, func(name string) bool { // its own fault is told
-				return strings.HasPrefix(f.Err.Text, "undeclared reference to '"+name+"'")
+				return strings.HasPrefix(f.Err.Text, match.Undeclared(name))
 			}) {
 				continue
 			}
