Read: files may include others, so that drills share their routes

Two drills had the same hundred lines of routes, and every sentry of a deployment repeats what they have in common.

include = [...] at the head of a file takes the blocks of others as its own, faults told where they stand; included files name no others and are plain files. The sentry watches them too.

Eight ways in which an include goes wrong are told; match test on both drills holds as before.

--- a/cmd/scalechute/drill_test.go
+++ b/cmd/scalechute/drill_test.go
@@ -50,7 +50,8 @@
 
 func load(t *testing.T, name string, change ...string) *drill.Day {
 	t.Helper()
-	data, err := os.ReadFile("../../drills/" + name)
+	name = "../../drills/" + name
+	data, err := os.ReadFile(name)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -217,12 +218,15 @@
 		}
 	}
 	write(file, "one")
+	other := file + ".included"
+	write(other, "a")
 	hangups, done, seen, ended := make(chan os.Signal), make(chan struct{}), make(chan string, 10), make(chan struct{})
 	go func() {
 		defer close(ended)
-		watch(file, time.Millisecond, hangups, done, func() {
+		watch([]string{file, other}, time.Millisecond, hangups, done, func() []string {
 			text, _ := os.ReadFile(file)
 			seen <- string(text)
+			return []string{file, other}
 		})
 	}()
 	quiet := func(after string) {
@@ -248,6 +252,8 @@
 	hangups <- syscall.SIGHUP
 	want("one")
 	quiet("a hangup")
+	write(other, "another")
+	want("one")
 	write(file+".new", "two")
 	if err := os.Rename(file+".new", file); err != nil {
 		t.Fatal(err)
--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -91,13 +91,15 @@
 					s.Stop()
 				}
 			}()
-			watch(config, every, hangups, s.Done(), func() {
-				sheet, err := orders.Load(config)
+			watch(append([]string{config}, sheet.Files...), every, hangups, s.Done(), func() []string {
+				now, err := orders.Load(config)
 				same := false
 				if err == nil {
-					same, err = s.Reload(sheet)
+					sheet = now
+					same, err = s.Reload(now)
 				}
-				s.Loaded(sheet, same, err)
+				s.Loaded(now, same, err)
+				return append([]string{config}, sheet.Files...)
 			})
 			return nil
 		},
@@ -114,33 +116,42 @@
 	return c
 }
 
-// watch calls back at each hangup and when a file is another one or has changed, until done. A file that is away for
-// the moment, as between two steps of its replacement, counts as unchanged.
-func watch(file string, every time.Duration, hangups <-chan os.Signal, done <-chan struct{}, changed func()) {
+// watch calls back at each hangup and when one of some files is another one or has changed, until done; what it gets is the
+// files to watch from then on. A file that is away for the moment, as between two steps of its replacement, counts as
+// unchanged.
+func watch(files []string, every time.Duration, hangups <-chan os.Signal, done <-chan struct{}, changed func() []string) {
 	var tick <-chan time.Time
 	if every > 0 {
 		t := time.NewTicker(every)
 		defer t.Stop()
 		tick = t.C
 	}
-	last, _ := os.Stat(file)
+	last := map[string]os.FileInfo{}
+	look := func() (other bool) {
+		for _, file := range files {
+			now, err := os.Stat(file)
+			if err != nil {
+				continue
+			}
+			was := last[file]
+			other = other || was != nil && !(os.SameFile(was, now) && now.ModTime().Equal(was.ModTime()) && now.Size() == was.Size())
+			last[file] = now
+		}
+		return other
+	}
+	look()
 	for {
 		select {
 		case <-done:
 			return
 		case <-hangups:
-			if now, err := os.Stat(file); err == nil {
-				last = now
-			}
-			changed()
+			look()
 		case <-tick:
-			now, err := os.Stat(file)
-			if err != nil || last != nil && os.SameFile(last, now) && now.ModTime().Equal(last.ModTime()) && now.Size() == last.Size() {
+			if !look() {
 				continue
 			}
-			last = now
-			changed()
 		}
+		files = changed()
 	}
 }
 
--- a/internal/hclread/read.go
+++ b/internal/hclread/read.go
@@ -3,10 +3,11 @@
 package hclread
 
 import (
+	"cmp"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 	"unicode/utf8"
@@ -45,32 +46,52 @@
 	Name   string
 	Source []byte
 	Root   *Body
+	Files  []string // that it includes
 	faults *Faults
 }
 
 // Open reads and parses a file.
 func Open(name string) (*File, error) {
+	source, err := load(name)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(name, source)
+}
+
+// load reads a plain file of no more than may be.
+func load(name string) ([]byte, error) {
 	info, err := os.Stat(name)
 	if err != nil {
 		return nil, err
 	}
+	if !info.Mode().IsRegular() {
+		return nil, fmt.Errorf("%s: found no plain file, expected one", name)
+	}
 	if info.Size() > mostBytes {
 		return nil, fmt.Errorf("%s: found %d bytes, expected at most %d", name, info.Size(), mostBytes)
 	}
-	source, err := os.ReadFile(name)
+	return os.ReadFile(name)
+}
+
+// Parse is Open for what was read already.
+func Parse(name string, source []byte) (*File, error) {
+	f, err := parse(name, source, &Faults{})
 	if err != nil {
 		return nil, err
 	}
-	return Parse(name, source)
+	f.include()
+	return f, nil
 }
 
-// Parse is Open for what was read already.
-func Parse(name string, source []byte) (*File, error) {
+// parse books faults where they are told to be.
+func parse(name string, source []byte, faults *Faults) (*File, error) {
 	if line, what := tooDeep(source); line > 0 {
-		return nil, Faults{{name, line, 1, what}}
+		*faults = append(*faults, Fault{name, line, 1, what})
+		return nil, *faults
 	}
 	parsed, diags := hclsyntax.ParseConfig(source, name, hcl.InitialPos)
-	f := &File{Name: name, Source: source, faults: &Faults{}}
+	f := &File{Name: name, Source: source, faults: faults}
 	if diags.HasErrors() {
 		for _, d := range diags.Errs() {
 			d, ok := d.(*hcl.Diagnostic)
@@ -87,12 +108,39 @@
 	return f, nil
 }
 
+// include reads the files that a file names, relative to itself: their blocks count as its own. They name no others.
+func (f *File) include() {
+	if !f.Root.Has("include") {
+		return
+	}
+	for _, name := range f.Root.Texts("include", true) {
+		path := filepath.Join(filepath.Dir(f.Name), name)
+		source, err := load(path)
+		if err != nil {
+			f.Root.FaultAt("include", "%v", err)
+			continue
+		}
+		other, err := parse(path, source, f.faults)
+		if err != nil {
+			continue
+		}
+		if other.Root.Has("include") {
+			other.Root.FaultAt("include", "found in a file that is included itself, expected none")
+		}
+		f.Files = append(f.Files, path)
+		f.Root.more = append(f.Root.more, other.Root)
+		other.Root.seen = f.Root.seen
+	}
+}
+
 // Err is nil if no fault was found.
 func (f *File) Err() error {
 	if len(*f.faults) == 0 {
 		return nil
 	}
-	sort.SliceStable(*f.faults, func(i, j int) bool { return (*f.faults)[i].Line < (*f.faults)[j].Line })
+	slices.SortStableFunc(*f.faults, func(a, b Fault) int {
+		return cmp.Or(strings.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
+	})
 	return *f.faults
 }
 
@@ -104,6 +152,7 @@
 	body   *hclsyntax.Body
 	at     hcl.Range
 	seen   map[string]bool
+	more   []*Body // included files
 }
 
 // Fault books a fault at the place of this block.
@@ -190,6 +239,9 @@
 		found = append(found, &Body{Kind: kind, Labels: x.Labels, file: b.file, body: x.Body, at: x.DefRange(),
 			seen: map[string]bool{}})
 	}
+	for _, m := range b.more {
+		found = append(found, m.Blocks(kind, labels)...)
+	}
 	return found
 }
 
@@ -433,6 +485,9 @@
 
 // Done books a fault for each name of the block that nobody asked for.
 func (b *Body) Done() {
+	for _, m := range b.more {
+		m.Done()
+	}
 	for name, a := range b.body.Attributes {
 		if !b.seen[name] {
 			b.fault(a.SrcRange, "%s: unknown in %s, expected one of %s", name, b.title(), b.known(""))
--- a/internal/hclread/read_test.go
+++ b/internal/hclread/read_test.go
@@ -1,6 +1,8 @@
 package hclread
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -41,3 +43,40 @@
 		t.Errorf("many blocks: %.200v", err)
 	}
 }
+
+// Blocks of included files count as the file's own, and their faults are told where they stand.
+func TestInclude(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"more.hcl": "b \"two\" {\n  x = 2\n}\n", "bad.hcl": "b \"three\" {\n  x = \n}\n",
+		"odd.hcl": "\nc {}\n", "again.hcl": "include = [\"more.hcl\"]\n"} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, x := range []struct{ include, want string }{
+		{`"more.hcl"`, ""}, {`"bad.hcl"`, "bad.hcl:2:"}, {`"odd.hcl"`, "odd.hcl:2:1: block c: unknown in the file, expected one of b"},
+		{`"again.hcl"`, "again.hcl:1:1: include: found in a file that is included itself"}, {`"main.hcl"`, "main.hcl:1:1: include: found in a file"},
+		{`"none.hcl"`, "main.hcl:1:1: include: "}, {`"../../../../../../../../dev/zero"`, "found no plain file, expected one"}, {`3`, "expected a text"},
+	} {
+		name := filepath.Join(dir, "main.hcl")
+		text := []byte("include = [" + x.include + "]\nb \"one\" {\n  x = 1\n}\n")
+		if err := os.WriteFile(name, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := Parse(name, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var labels []string
+		for _, b := range f.Root.Blocks("b", 1) {
+			labels = append(labels, b.Labels[0])
+			_ = b.Whole("x", true, 0, 0, 9)
+			b.Done()
+		}
+		f.Root.Done()
+		if err = f.Err(); x.want == "" && (err != nil || len(f.Files) != 1 || strings.Join(labels, " ") != "one two") ||
+			x.want != "" && (err == nil || !strings.Contains(err.Error(), x.want)) {
+			t.Errorf("%s: %v, %v", x.include, labels, err)
+		}
+	}
+}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -20,6 +20,7 @@
 	Zones        []string
 	Post         Post
 	Bounds       Bounds
+	Files        []string     // that the sentry's file includes
 	Routes       *routes.Book // nil if transactions say themselves what they are
 }
 
@@ -72,6 +73,7 @@
 
 func read(f *hclread.File) (*Sheet, error) {
 	s := Shared(f.Root)
+	s.Files = f.Files
 	s.post(f.Root.Block("sentry", true))
 	f.Root.Done()
 	if err := f.Err(); err != nil {
