--- a/internal/match/check.go
+++ b/internal/match/check.go
@@ -308,7 +308,7 @@
 	if _, rest, is := strings.Cut(message, "undeclared reference to '"); is {
 		name, _, _ := strings.Cut(rest, "'")
 		if t := c.types[name]; t != nil && t.Kind == Set {
-			return fmt.Sprintf("found a member that %s does not have, expected one of %s", name, few(t.Names))
+			return noMember(t)
 		}
 		var known []string
 		for n := range c.schema.at {
@@ -320,6 +320,11 @@
 		slices.Sort(known)
 		return fmt.Sprintf("%s, expected one of %s", Undeclared(name), few(known))
 	}
+	if name, is := strings.CutSuffix(message, "' does not support field selection"); is { // an attribute is called as its set
+		if t := c.types[strings.TrimPrefix(name, "type '")]; t != nil && t.Kind == Set {
+			return noMember(t)
+		}
+	}
 	if _, rest, is := strings.Cut(message, "found no matching overload for '"); is {
 		name, rest, _ := strings.Cut(rest, "' applied to '")
 		sides, _, _ := strings.Cut(rest, "'")
@@ -338,6 +343,10 @@
 	return message
 }
 
+func noMember(t *Type) string {
+	return fmt.Sprintf("found a member that %s does not have, expected one of %s", t.Name, few(t.Names))
+}
+
 // Undeclared begins what is said of a name that nobody declared.
 func Undeclared(name string) string { return "undeclared reference to '" + name + "'" }
 
