Platform counts and complaints drive the sums where sentries may not speak to each other

Adapter: counts_by_build, metrics_period_ns, sampled_share, told_every_ns, warm_keys and the load fields cpu_share and served_ps are passed on; what a worker holds follows from served_ps and the time of one answer.

--- a/internal/benchwire/facts.go
+++ b/internal/benchwire/facts.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"scalechute/logic"
 )
@@ -11,9 +12,19 @@
 type names struct {
 	profiles map[string]logic.ProfileID
 	accounts map[string]logic.AccountID
-	heldAt   int // place of the held count in a load report, -1 if there is none
+	loadAt   [loads]int // places of the figures in a load report, -1 where there is none
 }
 
+// The figures of a load report that are passed on.
+const (
+	loadHeld = iota
+	loadBusy
+	loadServed
+	loads
+)
+
+var loadNames = [loads]string{loadHeld: "busy_reqs", loadBusy: "cpu_share", loadServed: "served_ps"}
+
 // zone numbers the zones in the order in which they are first named.
 func zone(zones map[string]logic.ZoneID, name string) logic.ZoneID {
 	id, ok := zones[name]
@@ -53,7 +64,11 @@
 			HarmFee          float64   `json:"harm_fee"`
 			Layout           string    `json:"layout"`
 			NoReturn         bool      `json:"no_return"`
+			MetricsPeriodNs  int64     `json:"metrics_period_ns"`
 			OnVotes          int       `json:"on_votes"`
+			SampledShare     float64   `json:"sampled_share"`
+			ToldEveryNs      int64     `json:"told_every_ns"`
+			WarmKeys         bool      `json:"warm_keys"`
 			Shares           []float64 `json:"shares"`
 			Shielded         int       `json:"shielded"`
 			StaleBuildPrice  float64   `json:"stale_build_price"`
@@ -108,7 +123,7 @@
 	n := &names{
 		profiles: map[string]logic.ProfileID{},
 		accounts: map[string]logic.AccountID{},
-		heldAt:   -1,
+		loadAt:   [loads]int{-1, -1, -1},
 	}
 	for _, z := range f.Azs {
 		zone(zones, z)
@@ -131,8 +146,10 @@
 		OnVotes: f.FamilyInfo.OnVotes, HoldVotes: f.FamilyInfo.VotesToHold, BackVotes: f.FamilyInfo.VotesToRevert,
 		VoteLife: us(f.FamilyInfo.VoteTTLNs), VoteWait: us(f.FamilyInfo.AnswerWaitNs),
 		VotesPerSecond: f.FamilyInfo.VotesPerS, Bake: us(f.FamilyInfo.BakeNs),
-		ComplaintShare: f.FamilyInfo.ComplaintShare,
-		BehindPrice:    f.FamilyInfo.StaleBuildPrice, HarmPrice: f.FamilyInfo.HarmFee,
+		ComplaintShare: f.FamilyInfo.ComplaintShare, ToldEvery: us(f.FamilyInfo.ToldEveryNs),
+		CountsEvery: us(f.FamilyInfo.MetricsPeriodNs), CountsShare: f.FamilyInfo.SampledShare,
+		WarmKeys:    f.FamilyInfo.WarmKeys,
+		BehindPrice: f.FamilyInfo.StaleBuildPrice, HarmPrice: f.FamilyInfo.HarmFee,
 		CrossPrice: f.Prices.CrossZone, WastePrice: f.Prices.Waste, OverShareValue: f.OverShareWorth,
 	}
 	switch f.FamilyInfo.Control {
@@ -173,8 +190,8 @@
 	}
 	if f.Report.How != "off" {
 		for i, name := range f.Report.Fields {
-			if name == "busy_reqs" {
-				n.heldAt = i
+			if at := slices.Index(loadNames[:], name); at >= 0 {
+				n.loadAt[at] = i
 			}
 		}
 	}
--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -183,13 +183,18 @@
 	return e
 }
 
-func (in *instance) held(f *fields, i int) float64 {
+// load reads a load report: what it does not tell is below 0.
+func (in *instance) load(f *fields, i int) (load logic.Load) {
 	var row []*float64
 	f.read(i, &row, false)
-	if in.names.heldAt < 0 || in.names.heldAt >= len(row) || row[in.names.heldAt] == nil {
-		return -1
+	figures := [loads]*float64{loadHeld: &load.Held, loadBusy: &load.Busy, loadServed: &load.Served}
+	for n, at := range in.names.loadAt {
+		*figures[n] = -1
+		if at >= 0 && at < len(row) && row[at] != nil {
+			*figures[n] = *row[at]
+		}
 	}
-	return *row[in.names.heldAt]
+	return load
 }
 
 func (in *instance) profile(f *fields, i int) logic.ProfileID {
@@ -228,7 +233,7 @@
 		e := logic.HandOffEnd{
 			Transaction: logic.TransactionID(f.must(1)), HandOff: int(f.integer(2)),
 			Worker: logic.WorkerID(f.must(3)), Ending: f.ending(4), Took: f.time(5), Closed: f.truth(6),
-			Held: in.held(f, 7),
+			Load: in.load(f, 7),
 		}
 		do = func() logic.Result { return s.HandOffEnded(now, e) }
 	case "ack_first", "left":
@@ -263,6 +268,12 @@
 	case "reported_wrong":
 		c := logic.Complaint{Age: f.time(1), Profile: in.profile(f, 2), Worker: logic.WorkerID(f.must(3))}
 		do = func() logic.Result { return s.Complained(now, c) }
+	case "counts_by_build":
+		c := logic.Counts{
+			HandOffs: int(f.integer(1)), Profile: in.profile(f, 2), Failed: int(f.integer(3)),
+			Build: logic.BuildID(f.integer(4)), Age: f.time(5), Mean: f.time(6),
+		}
+		do = func() logic.Result { return s.Counted(now, c) }
 	case "mail":
 		from := logic.SentryID(f.integer(1))
 		body, err := base64.StdEncoding.DecodeString(f.text(2))
--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -51,7 +51,7 @@
 // A panic of the module is told with the instance's number, and is not swallowed: a sentry that is not there panics.
 func TestPanicIsTold(t *testing.T) {
 	var out bytes.Buffer
-	l := &link{out: bufio.NewWriter(&out), instances: map[int64]*instance{7: {number: 7, names: &names{heldAt: -1}}}}
+	l := &link{out: bufio.NewWriter(&out), instances: map[int64]*instance{7: {number: 7, names: &names{}}}}
 	for _, line := range []string{`["left",7,"t/1"]`, `["your_turn"]`} {
 		if err := l.line([]byte(line)); err != nil {
 			t.Fatal(err)
--- a/internal/sentry/workers.go
+++ b/internal/sentry/workers.go
@@ -223,7 +223,7 @@
 	if h.conn != nil {
 		h.conn.release(h.id)
 	}
-	end := logic.HandOffEnd{Transaction: t.id, HandOff: n, Ending: ending, Took: s.now - h.sent, Held: held}
+	end := logic.HandOffEnd{Transaction: t.id, HandOff: n, Ending: ending, Took: s.now - h.sent, Load: logic.Load{Held: held, Busy: -1, Served: -1}}
 	if w != nil {
 		end.Worker = w.id
 	}
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -26,6 +26,6 @@
 		now += 50
 		id := ids[i%len(ids)]
 		r := s.Arrive(now, Transaction{ID: id, Account: NoAccount, Key: "k", Limit: now + second})
-		s.HandOffEnded(now+40, HandOffEnd{Transaction: id, Worker: r.Rulings[0].Worker, Closed: true, Took: 40, Held: 0})
+		s.HandOffEnded(now+40, HandOffEnd{Transaction: id, Worker: r.Rulings[0].Worker, Closed: true, Took: 40, Load: Load{0, -1, -1}})
 	}
 }
--- a/logic/cases_test.go
+++ b/logic/cases_test.go
@@ -63,7 +63,7 @@
 			}
 			e, took := answer(r.Worker, b.n)
 			b.see(b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: r.Worker, Ending: e, Took: took,
-				Closed: e == Answered, Held: -1}))
+				Closed: e == Answered, Load: NoLoad}))
 		}
 	}
 }
@@ -173,7 +173,7 @@
 				t.Fatalf("transaction %d of a met key: %v", n, x)
 			default:
 				b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: x.Worker, Closed: true, Took: 50_000,
-					Held: -1})
+					Load: NoLoad})
 			}
 		}
 	}
--- a/logic/crowd_test.go
+++ b/logic/crowd_test.go
@@ -69,7 +69,7 @@
 				took = 1_000
 			}
 			end := HandOffEnd{Transaction: x.Transaction, HandOff: len(c.all[i].open[x.Transaction].sends) - 1,
-				Worker: x.Worker, Ending: e, Took: took, Closed: e == Answered, Held: -1}
+				Worker: x.Worker, Ending: e, Took: took, Closed: e == Answered, Load: NoLoad}
 			c.see(i, c.all[i].HandOffEnded(c.now, end))
 		}
 	}
--- a/logic/exposure_test.go
+++ b/logic/exposure_test.go
@@ -47,7 +47,7 @@
 				if trialWorker(w) {
 					sent++
 				}
-				b.see(b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: w, Closed: true, Took: 1, Held: -1}))
+				b.see(b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: w, Closed: true, Took: 1, Load: NoLoad}))
 			}
 		}
 	}
@@ -63,7 +63,7 @@
 		id := TransactionID(fmt.Sprint("e", b.n))
 		b.see(b.s.Arrive(b.now, Transaction{ID: id, Key: next(), Account: NoAccount, Limit: b.now + second}))
 		w := b.last.Rulings[0].Worker
-		b.see(b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: w, Closed: true, Took: 1, Held: -1}))
+		b.see(b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: w, Closed: true, Took: 1, Load: NoLoad}))
 		return trialWorker(w)
 	}
 	o.FreeExposure, b.s.news.Cap = 2, 0.01
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -289,7 +289,7 @@
 	}
 	s.out.Rulings = append(s.out.Rulings, r)
 	s.again[t.Key]++
-	if len(t.sends) == 0 && s.news.Phase == OnTrial { // under the bound, slowness shows in these
+	if len(t.sends) == 0 && s.news.Phase == OnTrial && !s.counted() { // under the bound, slowness shows in these
 		s.judgeAll(p, float64(p.OuterLimit))
 	}
 	t.closed = true
@@ -362,7 +362,7 @@
 		if len(r.ready) == 0 {
 			delete(s.rosters, b)
 		}
-		r.ready, r.can, r.newest = r.ready[:0], 0, 0
+		r.ready, r.can, r.bears, r.newest = r.ready[:0], 0, 0, 0
 	}
 	s.fleetCan = 0
 	for _, shunned := range []bool{false, true} {
@@ -380,6 +380,7 @@
 			r.newest = max(r.newest, in.Started)
 			if s.strikes[w] == 0 {
 				r.can += in.Size * s.warmth(w)
+				r.bears += in.Size * s.warmed(w)
 				s.fleetCan += in.Size * s.warmth(w)
 			}
 		}
@@ -511,8 +512,29 @@
 	if start <= 0 || s.orders.WarmUp <= 0 {
 		return 1
 	}
-	age := float64(s.now-start) / float64(s.orders.WarmUp)
-	return s.orders.ColdFrom + (1-s.orders.ColdFrom)*min(1, max(0, age))
+	return s.orders.ColdFrom + (1-s.orders.ColdFrom)*s.warmed(w)
+}
+
+// warmed is how much of its warming up a worker has behind it, 0 to 1.
+func (s *Sentry) warmed(w int) float64 {
+	start := s.start(w)
+	if start <= 0 || s.orders.WarmUp <= 0 {
+		return 1
+	}
+	return min(1, max(0, float64(s.now-start)/float64(s.orders.WarmUp)))
+}
+
+// warmthOf is the same for all ready workers of a build that ran at some time.
+func (s *Sentry) warmthOf(b BuildID, at Micros) float64 {
+	can, size, now := 0.0, 0.0, s.now
+	s.now = at
+	for _, w := range s.order {
+		if in := &s.workers[w]; in.Build == b && in.State == Ready && s.start(w) < at {
+			can, size = can+in.Size*s.warmth(w), size+in.Size
+		}
+	}
+	s.now = now
+	return can / max(size, 1e-9)
 }
 
 // tooCold keeps this sentry's part of what all may send a cold worker: half the stated multiple of what one
@@ -536,18 +558,36 @@
 	return float64(len(s.recent[w])+1) > extra+coldPart*s.orders.FallMultiple*warmth*fair
 }
 
+// holds is how many transactions a worker has by its report, below 0 if that can't be told. What is not told
+// follows from what is served in a second and the time of one, as long as some share of its cores is busy.
+func (s *Sentry) holds(w int, h *handOff) float64 {
+	load := h.end.Load
+	if load.Held >= 0 || load.Served < 0 {
+		return load.Held
+	}
+	usual := 0.0
+	for i := range s.profiles[:len(s.profiles)-1] {
+		usual += s.profiles[i].expected / float64(len(s.profiles)-1)
+	}
+	return load.Served * s.pace[w] * usual / float64(second)
+}
+
 // learnWorker books what an ended hand-off says of its worker.
 func (s *Sentry) learnWorker(t *transaction, h *handOff) {
 	w, p := h.worker, &s.profiles[t.Profile]
 	renew := max(paceFade, (1-s.fresh(w))/2)
 	s.heard[w] = s.now
-	if h.end.Held >= 0 {
-		s.held += rateFade * (h.end.Held - s.held)
-		s.others[w] += othersFade * (max(0, h.end.Held-float64(s.inHand[w])) - s.others[w])
+	if held := s.holds(w, h); held >= 0 {
+		s.held += rateFade * (held - s.held)
+		s.others[w] += othersFade * (max(0, held-float64(s.inHand[w])) - s.others[w])
 	}
 	if h.end.Ending == Cancelled || h.end.Ending == Unsent {
 		return
 	}
+	if h.end.Ending != Answered {
+		s.erred += failedFade * (one(h.end.Ending == Errored)*mostFailed - s.erred)
+		s.failed += failedFade * (mostFailed - s.failed)
+	}
 	s.faults[w] += faultFade * (one(h.end.Ending != Answered) - s.faults[w])
 	full := h.end.Ending == TurnedAway || h.end.Ending == TimedOut
 	s.breaks[w] += faultFade * (one(h.end.Ending != Answered && !full) - s.breaks[w])
@@ -679,7 +719,10 @@
 		s.reach = 0
 		return
 	}
-	trialCan, fleet := s.capacity(trial), s.capacity(s.base)
+	trialCan, fleet := 0.0, s.capacity(s.base)
+	if r := s.rosters[trial]; r != nil {
+		trialCan = r.bears
+	}
 	// Where the earlier workers all stay, they have little to do: the trial's would carry far more than they.
 	fleet += trialCan * (1 - one(s.orders.BesideEarlier && fleet > 0)*2/3)
 	share := lean * trialCan / max(fleet, 1e-9)
@@ -722,12 +765,16 @@
 	k, miss := kind(one(slow)), newest && (failed || slow)
 	weight := s.weigh(h.worker, k, miss)
 	s.ownMisses[k][h.worker] += uint64(one(miss))
-	if warm {
-		s.judgeAll(p, took)
-	}
-	s.observe(t.Profile, errs, h.build != s.base || newest && s.judged > 0, failed, weight) // also just released
-	if warm {
-		s.observe(t.Profile, late, h.build != s.base, slow, weight)
+	if own := !s.counted(); own {
+		if warm {
+			s.judgeAll(p, took)
+		}
+		s.observe(t.Profile, errs, h.build != s.base || newest && s.judged > 0, failed, weight) // also just released
+		if warm {
+			s.observe(t.Profile, late, h.build != s.base, slow, weight)
+		}
+	} else if newest && h.end.Ending == Answered {
+		s.wrong = max(0, s.wrong-wrongSlack)
 	}
 	if h.build != s.base {
 		return
@@ -854,17 +901,33 @@
 	return even * even * part
 }
 
-// Complained takes a client's word that an answer was wrong: it counts as an error of that build.
+// Complained takes a client's word that an answer was wrong: it counts as an error of that build. Where each
+// sentry must judge by itself and no count shows wrong answers, one is enough to vote back for the next few
+// answers, for many sentries must do so at a time: false reports are too few for that. A report on the earlier
+// build takes one away. It can harm a good build where a few votes send it back.
 func (s *Sentry) Complained(now Micros, c Complaint) Result {
 	return s.call(now, func() {
 		if w, known := s.index[c.Worker]; known && c.Profile >= 0 && int(c.Profile) < len(s.profiles)-1 {
 			newest := s.news.Valid && s.workers[w].Build == s.news.Build
+			if s.countsRule() { // they do not see it, and nobody else will tell
+				s.wrong = max(0, s.wrong+wrongWeight*(2*one(newest && s.watched())-1))
+				return
+			}
 			s.observe(c.Profile, errs, newest, true, s.weigh(w, errs, newest))
 		}
 	})
 }
 
 const (
+	failedFade, mostFailed = 0.1, 10.0 // of a sentry's own failures, about so many count
+	countsFor              = 4         // periods for which the platform's counts hold
+	meansFade              = 0.2       // for each of its periods
+	meansSlack             = 0.5       // share by which a mean may be longer
+	countsSlack            = 0.04      // and of failures, beyond twice the earlier build's
+
+	wrongWeight = 2 * voteBackAt
+	wrongSlack  = voteBackAt / 30 // for each answer of the trial
+
 	manySentries             = 20
 	togetherSlack, mostSlack = 0.45, 0.9  // share of slow answers let pass there: at the least and the most
 	collectors               = 3          // sentries that judge what all have seen
@@ -951,6 +1014,89 @@
 	}
 }
 
+// Counted takes what the platform counted of a build. It stands in for messages: where its sample is more than
+// this sentry sees itself, the sums go by it and not by this sentry's own outcomes, so that none counts twice.
+// All sentries then err alike; own outcomes judge again when no counts have come for some periods.
+func (s *Sentry) Counted(now Micros, c Counts) Result {
+	return s.call(now, func() {
+		if c.Profile < 0 || int(c.Profile) >= len(s.profiles)-1 || c.HandOffs <= 0 || !s.countsRule() {
+			return
+		}
+		s.countedAt = s.now
+		p, n, failed := &s.profiles[c.Profile], float64(c.HandOffs), float64(min(c.HandOffs, c.Failed))
+		newest := s.news.Valid && c.Build == s.news.Build && (c.Build != s.base || s.judged > 0)
+		if !newest && c.Build != s.base {
+			return
+		}
+		if newest { // of any kind: a worker's death, a refused connection; this sentry's own tell how many are errors
+			failed = max(0, failed*(s.erred+1)/(s.failed+1)-n*(countsSlack+max(p.rate[errs], p.failing)))
+		} else {
+			p.failing = failed / n
+		}
+		s.judge(c.Profile, errs, newest, n, failed)
+		at := s.now - c.Age - s.orders.CountsEvery/2
+		s.tellMeans(p, n-float64(c.Failed), float64(c.Mean), newest, at)
+	})
+}
+
+// countsRule says whether the platform's counts drive the sums.
+func (s *Sentry) countsRule() bool {
+	o := &s.orders
+	return o.CountsEvery > 0 && !o.MayMessage && o.CountsShare*float64(o.Sentries) > 1
+}
+
+// counted says whether they do so now.
+func (s *Sentry) counted() bool {
+	return s.countsRule() && s.countedAt > 0 && s.now-s.countedAt < countsFor*s.orders.CountsEvery
+}
+
+// tellMeans adds a mean time to those of its period, over all profiles: of the trial, the warmth of its workers
+// then allowed for, and of all.
+func (s *Sentry) tellMeans(p *profileRow, n, mean float64, newest bool, at Micros) {
+	if n <= 0 || mean <= 0 {
+		return
+	}
+	if newest {
+		mean *= s.warmthOf(s.news.Build, at)
+	} else if p.mean += max(meansFade, one(p.mean == 0)) * (mean - p.mean); !s.watched() {
+		p.meanCalm = p.mean
+	}
+	if p.meanCalm > 0 {
+		for _, of := range []*means{&s.means[0], &s.means[int(one(newest))]} {
+			of.n, of.took, of.calm = of.n+n, of.took+n*mean, of.calm+n*p.meanCalm
+			of.base += n * p.mean
+			if !newest {
+				break
+			}
+		}
+	}
+}
+
+// judgeMeans judges what came of a period. A mean that is so many times as long counts as so many late ones: the
+// trial's beside the earlier build's or the time before, whichever is longer, those of both beside the time
+// before, in both cases by more than the load explains.
+func (s *Sentry) judgeMeans() {
+	all, trial := s.means[0], s.means[1]
+	s.means = [2]means{}
+	perSecond := all.n * float64(second) / float64(s.orders.CountsEvery)
+	if !s.watched() {
+		s.countsCalm += max(meansFade, one(s.countsCalm == 0)) * (perSecond - s.countsCalm)
+		return
+	}
+	load := max(1, perSecond/max(s.countsCalm, 1e-9)) * max(1, s.calmCan/max(s.fleetCan, 1e-9))
+	if all.n > 0 {
+		slow := min(1, max(0, all.took/all.calm/s.byLoad(load)-1)) * all.n
+		s.allSum = max(0, s.allSum+(slow-all.n*meansSlack)*s.allMeter.part(s.now, all.n))
+	}
+	if trial.n > 0 {
+		load *= max(1, s.calmCan*float64(s.reach)/max(100*s.capacity(s.news.Build), 1e-9))
+		longer := trial.took / max(trial.base, trial.calm*s.byLoad(load))
+		_, row := s.rows(0)
+		weight := lateWeight * trial.n * s.lateMeter.part(s.now, trial.n)
+		row.sum[late] = max(0, row.sum[late]+weight*(min(1, max(0, longer-1))-meansSlack))
+	}
+}
+
 // vote forms this sentry's verdict and sends it when it has changed or is about to lapse.
 func (s *Sentry) vote() {
 	if s.now < s.voteNext {
@@ -958,6 +1104,9 @@
 	}
 	s.voteNext = s.now + second/4
 	s.survey()
+	if s.means[0].n > 0 && s.now > s.countedAt {
+		s.judgeMeans()
+	}
 	if s.usual == 0 || s.news.Phase != GoingBack {
 		s.handed = trim(s.handed, s.now-s.span) // not what comes: under overload that is more than workers bear
 		s.usual += max(usualFade, one(s.usual == 0)) * (float64(len(s.handed))/max(s.fleetCan, 1e-9) - s.usual)
@@ -969,7 +1118,7 @@
 	v := Vote{Build: s.news.Build, Stage: s.news.Stage, Verdict: s.verdict()}
 	s.pool(v.Verdict)
 	if v.Verdict != NoVerdict && (v != s.voted || s.votedAt == 0 || s.now-s.votedAt >= s.orders.VoteLife*6/10) {
-		if v != s.voted && (s.collects() || !s.orders.MayMessage) {
+		if v != s.voted && (s.collects() || s.orders.Sentries < manySentries) {
 			s.note(v.Verdict)
 		}
 		s.out.Votes = append(s.out.Votes, v)
@@ -990,7 +1139,7 @@
 		return s.advice
 	}
 	sum := slices.Max(sums)
-	if s.blamed = s.blamed || sum > limit; s.blamed {
+	if s.blamed = s.blamed || sum > limit; s.blamed || s.wrong > limit {
 		return GoBack
 	}
 	patience *= 1 + Micros(2*one(o.MayMessage && !collects)) // others may know more
--- a/logic/port.go
+++ b/logic/port.go
@@ -110,6 +110,10 @@
 	VotesPerSecond    float64
 	Bake              Micros
 	ComplaintShare    float64
+	ToldEvery         Micros  // news comes at least so often, 0 if not told
+	CountsEvery       Micros  // the platform's counts come so often, 0 if never
+	CountsShare       float64 // of all hand-offs that they count
+	WarmKeys          bool    // a worker is quicker for keys that it met lately
 
 	// Prices, as shares of the whole value.
 	BehindPrice, HarmPrice, CrossPrice, WastePrice float64
@@ -170,7 +174,17 @@
 	Unsent             // proven not to have run
 )
 
-// HandOffEnd tells the end of one hand-off. Held is the load that the worker reported, below 0 if it did not.
+// Load is what a worker reports of its load; a figure that it does not tell is below 0.
+type Load struct {
+	Held   float64 // transactions
+	Busy   float64 // share of its cores
+	Served float64 // transactions a second
+}
+
+// NoLoad is the report of a worker that tells nothing.
+var NoLoad = Load{Held: -1, Busy: -1, Served: -1}
+
+// HandOffEnd tells the end of one hand-off.
 type HandOffEnd struct {
 	Transaction TransactionID
 	HandOff     int
@@ -178,7 +192,7 @@
 	Ending      Ending
 	Took        Micros
 	Closed      bool // the transaction has its final answer
-	Held        float64
+	Load        Load
 }
 
 // Phase is where the newest build stands.
@@ -220,6 +234,17 @@
 	Age     Micros // since that hand-off was sent
 }
 
+// Counts is what the platform counted of one build and profile, in a sample of all hand-offs over a past period.
+// All sentries are told the same.
+type Counts struct {
+	Build    BuildID
+	Profile  ProfileID
+	HandOffs int
+	Failed   int    // not answered, for whatever reason
+	Mean     Micros // time of the others
+	Age      Micros // since the period ended
+}
+
 // RulingKind is what is to be done about a transaction.
 type RulingKind int
 
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -238,7 +238,7 @@
 	}
 	o.closed = closed
 	f.do(f.s.HandOffEnded(f.now, HandOffEnd{Transaction: o.in.ID, HandOff: n, Worker: h.worker, Ending: e,
-		Took: f.now - h.at, Closed: closed, Held: float64(f.chance.Intn(4) - 1)}))
+		Took: f.now - h.at, Closed: closed, Load: Load{float64(f.chance.Intn(4) - 1), -1, -1}}))
 }
 
 // sweep ends what has run out and sees that nothing open is overdue.
--- a/logic/state.go
+++ b/logic/state.go
@@ -45,6 +45,9 @@
 	sum      [kinds]float64 // sums of the trial's excess
 	calm     float64        // the bar before the trial, 0 if it was not learnt
 	seen     int            // outcomes of the earlier build
+	mean     float64        // mean time of the earlier build's by the platform's counts, 0 if none came
+	meanCalm float64        // the same before the trial
+	failing  float64        // share of its hand-offs that failed in the last period
 }
 
 // worth is the value for the work.
@@ -114,6 +117,11 @@
 	met                  map[Key]BuildID
 	taken                [][]Micros     // transactions, by profile where exposure counts so, else all in the first
 	exposed              [][]Micros     // hand-offs to the trial, likewise
+	means                [2]means       // of the period in hand: of all, of the trial
+	countsCalm           float64        // counted in a second before the trial
+	erred, failed        float64        // own hand-offs of late that a worker failed, and that failed for any reason
+	wrong                float64        // sum of reports of wrong answers, where each judges by itself
+	countedAt            Micros         // the platform's last count
 	baseSeen             Micros         // last outcome of the earlier build
 	missed               [kinds]float64 // all misses of the trial's workers
 	mine                 []uint64       // outcomes counted
@@ -142,6 +150,7 @@
 	ready  []int   // in this sentry's order, the shunned last
 	use    int     // so many of them are its working set
 	can    float64 // what they can do by now
+	bears  float64 // what a trial may count on of it: the cold are mostly closed, and the warm would bear their part
 	newest Micros  // start of the youngest
 }
 
@@ -211,6 +220,10 @@
 	return uint64(h.Sum32() % (1 << 14))
 }
 
+// means are mean times by the platform's counts: the answers, and the sums of what they took, of what as many
+// of their profiles took before the trial, and of what they take at the earlier build now.
+type means struct{ n, took, calm, base float64 }
+
 // meter follows how many outcomes come in a second.
 type meter struct {
 	rate float64
@@ -329,8 +342,8 @@
 func (s *Sentry) note(v Verdict) {
 	what := [...]string{GoOn: "voting on", Hold: "voting to hold", GoBack: "voting back"}[v]
 	s.out.Notes = append(s.out.Notes, fmt.Sprintf(
-		"%s build %d stage %d: of %d at load %.2f: all slower, then errors and late by profile and in all %.1f",
-		what, s.news.Build, s.news.Stage, s.judged, s.loadNow(), s.sums()))
+		"%s build %d stage %d: of %d at load %.2f: all slower, then errors and late by profile and in all %.1f, wrong %.1f",
+		what, s.news.Build, s.news.Stage, s.judged, s.loadNow(), s.sums(), s.wrong))
 }
 
 // place is where the outcomes of a kind are counted, and after it those that failed or were late. The last
@@ -418,7 +431,7 @@
 	s.calmLoad, s.calmRate, s.came, s.firstSeen, s.firstSlow = 0, 0, 0, 0, 0
 	s.arrived, s.due = meter{}, meter{}
 	clear(s.again)
-	s.voted, s.votedAt = Vote{}, 0
+	s.voted, s.votedAt, s.wrong = Vote{}, 0, 0
 	for i := range s.profiles {
 		s.profiles[i].sum, s.profiles[i].calm = [kinds]float64{}, 0
 	}
