--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,11 @@
 	firstRate   = 0.05 // assumed before anything was seen
 
 	// Open on the design page.
+	shutFade      = 0.1  // of how many new connections are refused
+	shyness       = 20.0 // with which a worker is taken where all are
+	wayFade       = 0.25
+	wayMost       = 10.0
+	slowWay       = 2.0  // times the own zone's, up to which a way is taken for chance
 	lean          = 1.3  // share sent to the trial build, to its share of what the fleet can do
 	strained      = 0.2  // the earlier build's rate of late ones from which lateness tells of load alone
 	calmTimes     = 1.6  // a hand-off this many bars of before the trial long counts as late for all
@@ -183,7 +188,13 @@
 	s.taken[c] = trim(append(s.taken[c], s.now), s.now-s.orders.ExposureWindow)
 	s.spare = min(s.spare+spareShare, spareMost)
 	s.open[t.ID] = t
-	return float64(s.busy) < s.room || s.holdBack(t)
+	return s.hasRoom(t) || s.holdBack(t)
+}
+
+// hasRoom says whether one more may be open: a repeat wants half of the room free, for others have not had a try
+// yet, and clients that repeat at once and for long would leave nothing to them.
+func (s *Sentry) hasRoom(t *transaction) bool {
+	return float64(s.busy) < s.room*(1-repeatsLess*one(t.Again))
 }
 
 const (
@@ -192,6 +203,7 @@
 
 	roomLeast        = 2.0 // open hand-offs to ready workers at the start; the least, to this sentry's share
 	roomMost         = 8.0
+	repeatsLess      = 0.5      // of the room that repeats leave free
 	roomFew          = 9.0      // that any sentry may have open
 	roomUp, roomDown = 0.1, 1.0 // for each answer in time while the room is used, and for each failure
 )
@@ -202,14 +214,21 @@
 func (s *Sentry) learnRoom(p *profileRow, w int, e HandOffEnd) {
 	ready := float64(max(1, s.readyCount(s.base)))
 	switch {
-	case s.shunned[w] > s.now:
+	case s.shunned[w] > s.now || e.Ending == TimedOut && e.Took < p.DueTime || s.farther(s.workers[w].Zone) > 1:
+		// says nothing of the load: a worker out of use, a client in a hurry, a slow way
 	case e.Ending == TurnedAway || e.Ending == TimedOut || e.Ending == Answered && e.Took > p.DueTime:
 		s.room -= min(roomDown, s.room/4)
 	case e.Ending == Answered && float64(s.busy) >= 0.7*s.room:
 		s.room += roomUp * max(1, 4/s.room)
 	}
 	own := max(roomFew, float64(s.longest)*float64(len(s.arrivals))/float64(s.span))
-	s.room = min(max(s.room, roomLeast*ready/float64(s.orders.Sentries), 1), roomMost*ready, own)
+	usual := 0.0 // open at a time by this sentry's usual traffic
+	for i := range s.profiles[:len(s.profiles)-1] {
+		p := &s.profiles[i]
+		one := min(p.expected, float64(p.DueTime)/6) // not what it takes in a jam
+		usual += s.usual * s.fleetCan / float64(s.span) * one / float64(len(s.profiles)-1)
+	}
+	s.room = min(max(s.room, roomLeast*max(ready/float64(s.orders.Sentries), usual), 1), roomMost*ready, own)
 }
 
 // assign chooses the build: the two-build hash, under the counter, with keys going forward only.
@@ -265,7 +284,7 @@
 		if t.closed || !t.held {
 			continue
 		}
-		if float64(s.busy) < s.room {
+		if s.hasRoom(t) {
 			t.held = false
 			s.run(t, 1)
 		} else if s.now >= s.patience(t) {
@@ -313,7 +332,7 @@
 		return -1
 	}
 	best := s.least(r.ready[:min(r.use, len(r.ready))], t, b)
-	if r.use >= len(r.ready) || best >= 0 && !s.occupied(best) {
+	if r.use >= len(r.ready) || best >= 0 && (!s.occupied(best) || s.connected(best) && s.shut > shunAbove) {
 		return best
 	}
 	r.use++
@@ -328,6 +347,9 @@
 func (s *Sentry) least(of []int, t *transaction, b BuildID) int {
 	best, least := -1, 0.0
 	look := max(lookAt, lookAt*len(of)/s.orders.Sentries)
+	if s.shut > shutFade || s.farthest > 1 { // few will do
+		look = len(of)
+	}
 	for i, w := range of {
 		if look < len(of) {
 			w = of[s.chance.Intn(len(of))]
@@ -390,6 +412,38 @@
 // fresh is how much of what is known of a worker's load still counts: one that was full once is tried again.
 func (s *Sentry) fresh(w int) float64 { return max(0, 1-float64(s.now-s.heard[w])/float64(freshFor)) }
 
+// learnWay books how long answers take by zone: the way to one may be slow or lose what is sent, though each of
+// its workers is met too seldom to tell.
+func (s *Sentry) learnWay(w int, p *profileRow, h *handOff) {
+	z, took := s.workers[w].Zone, float64(h.end.Took)/p.expected
+	switch {
+	case h.end.Ending == Unconnected && !s.quick(h):
+		took = wayMost
+	case h.end.Ending != Answered && h.end.Ending != TimedOut:
+		return
+	}
+	for len(s.ways) <= int(z) {
+		s.ways, s.waysAt = append(s.ways, 1), append(s.waysAt, 0)
+	}
+	s.ways[z] += wayFade * (min(wayMost, took) - s.ways[z])
+	s.waysAt[z] = s.now
+	s.farthest = 1
+	for z := range s.ways {
+		s.farthest = max(s.farthest, s.farther(ZoneID(z)))
+	}
+}
+
+// farther is how much slower than the own zone another one is, as far as that can't be chance, 1 at the least.
+func (s *Sentry) farther(z ZoneID) float64 {
+	own := s.orders.Zone
+	if z == own || int(z) >= len(s.ways) || int(own) >= len(s.ways) {
+		return 1
+	}
+	memory := max(float64(freshFor), recallFor*float64(s.span)/float64(1+len(s.arrivals)))
+	fresh := max(0, 1-float64(s.now-s.waysAt[z])/memory)
+	return 1 + fresh*max(0, s.ways[z]/max(1, s.ways[own])/slowWay-1)
+}
+
 // recalled is the same for how slow it was, which a sentry with little to do remembers longer.
 func (s *Sentry) recalled(w int) float64 {
 	memory := max(float64(freshFor), recallFor*float64(s.span)/float64(1+len(s.arrivals)))
@@ -406,8 +460,11 @@
 	load = (load + 1) / size
 	slower := 1 + s.recalled(w)*max(0, s.pace[w]/slowPace-1)
 	load *= math.Pow(slower, 1+one(s.held == 0)) // where no load is reported, slowness stands for it too
-	if s.workers[w].Zone != s.orders.Zone {
-		load *= 1 + 8*s.orders.CrossPrice
+	if z := s.workers[w].Zone; z != s.orders.Zone {
+		load *= (1 + 8*s.orders.CrossPrice) * math.Pow(s.farther(z), 2)
+	}
+	if !s.connected(w) {
+		load *= 1 + shyness*s.shut
 	}
 	if s.shunned[w] > s.now {
 		load *= 100
@@ -439,7 +496,8 @@
 
 func (s *Sentry) handOff(t *transaction) bool {
 	p, w := &s.profiles[t.Profile], t.worker
-	h := handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true, untimed: !s.connected(w)}
+	h := handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true, opened: !s.connected(w)}
+	h.untimed = h.opened
 	t.sends = append(t.sends, h)
 	s.inHand[w]++
 	s.busy++
@@ -588,16 +646,22 @@
 		s.erred += failedFade * (one(h.end.Ending == Errored)*mostFailed - s.erred)
 		s.failed += failedFade * (mostFailed - s.failed)
 	}
-	s.faults[w] += faultFade * (one(h.end.Ending != Answered) - s.faults[w])
+	hurried := h.end.Ending == TimedOut && h.end.Took < p.DueTime // the client's patience, not the worker
+	s.faults[w] += faultFade * (one(h.end.Ending != Answered && !hurried) - s.faults[w])
 	full := h.end.Ending == TurnedAway || h.end.Ending == TimedOut
 	s.breaks[w] += faultFade * (one(h.end.Ending != Answered && !full) - s.breaks[w])
 	if h.end.Ending == Answered && !h.untimed || h.end.Ending == TimedOut {
 		ratio := min(10, float64(h.end.Took)/p.expected)
 		s.pace[w] += renew * (ratio - s.pace[w])
 	}
+	if h.opened && (h.end.Ending == Answered || h.end.Ending == Unconnected) {
+		s.shut += shutFade * (one(h.end.Ending == Unconnected) - s.shut)
+	}
+	s.learnWay(w, p, h)
 	switch h.end.Ending {
 	case Unconnected, Broken: // one that still answers some is not dead: only this sentry's way to it is bad
 		if s.now >= s.shunned[w] && !(s.quick(h) && s.now-s.answered[w] < freshFor) {
+			s.answered[w] = 0
 			s.strikes[w] = min(s.strikes[w]+1, 4) // tried again after growing waits, for the list tells late
 			s.shunned[w] = s.now + second/2<<s.strikes[w]
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -17,6 +17,7 @@
 	build   BuildID
 	sent    Micros
 	over    bool
+	opened  bool // no connection was open, as far as is known
 	untimed bool // its time says nothing: a connection had to be opened, or this sentry stood still
 	mayRun  bool // not proven not to have run
 	end     HandOffEnd
@@ -100,6 +101,11 @@
 	luck      []float64        // what chance adds to their bound
 	misses    [kinds][]float64 // what the judge counted against it in this trial
 
+	ways     []float64 // time of answers to what is expected, by zone
+	waysAt   []Micros  // last
+	farthest float64   // of the ways to other zones, beside the own, 1 if none is slow
+	shut     float64   // share of new connections that are refused
+
 	usual    float64 // load of the fleet by this sentry's traffic, as it was lately
 	rosters  map[BuildID]*roster
 	fleetCan float64 // what all ready workers can do by now
