--- a/logic/logic.go
+++ b/logic/logic.go
@@ -331,7 +331,10 @@
 	if r == nil {
 		return -1
 	}
-	best := s.least(r.ready[:min(r.use, len(r.ready))], t, b)
+	best := s.least(r.ready[:min(max(r.use, r.ours), len(r.ready))], t, b)
+	if r.ours >= oursLeast && best >= 0 && s.score(best) < 3/s.workers[best].Size {
+		return best
+	}
 	if r.use >= len(r.ready) || best >= 0 && (!s.occupied(best) || s.connected(best) && s.shut > shunAbove) {
 		return best
 	}
@@ -347,7 +350,7 @@
 func (s *Sentry) least(of []int, t *transaction, b BuildID) int {
 	best, least := -1, 0.0
 	look := max(lookAt, lookAt*len(of)/s.orders.Sentries)
-	if s.shut > shutFade || s.farthest > 1 { // few will do
+	if s.shut > shutFade || s.farthest > 1 || s.shares() { // few will do, or all are known
 		look = len(of)
 	}
 	for i, w := range of {
@@ -384,7 +387,7 @@
 		if len(r.ready) == 0 {
 			delete(s.rosters, b)
 		}
-		r.ready, r.can, r.bears, r.newest = r.ready[:0], 0, 0, 0
+		r.ready, r.can, r.bears, r.newest, r.ours = r.ready[:0], 0, 0, 0, 0
 	}
 	s.fleetCan = 0
 	for _, shunned := range []bool{false, true} {
@@ -400,6 +403,7 @@
 			}
 			r.ready = append(r.ready, w)
 			r.newest = max(r.newest, in.Started)
+			r.ours += int(one(!shunned && s.rank[w] < notOurs))
 			if s.strikes[w] == 0 {
 				r.can += in.Size * s.warmth(w)
 				r.bears += in.Size * s.warmed(w)
@@ -453,7 +457,7 @@
 // score is the load of a worker for its size: the lowest wins. Among equals chance decides, by size.
 func (s *Sentry) score(w int) float64 {
 	fresh, size := s.fresh(w), s.workers[w].Size*s.warmth(w)
-	load := float64(s.inHand[w]) + fresh*s.others[w]
+	load := float64(s.inHand[w]) + max(fresh*s.others[w], s.nearNow(w))
 	if load < idle {
 		load = idle * (s.chance.ExpFloat64() - 1)
 	}
@@ -505,6 +509,7 @@
 	if trial, onTrial := s.trial(); onTrial && s.workers[w].Build == trial {
 		s.exposed[s.counter(t)] = append(s.exposed[s.counter(t)], s.now)
 	}
+	s.tellNear(w)
 	r := Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: t.Limit}
 	s.out.Rulings = append(s.out.Rulings, r)
 	if s.orders.MayCopy && len(t.sends) == 1 {
@@ -690,7 +695,8 @@
 			in.Size = max(in.Size, 1e-3)
 			w, known := s.index[in.ID]
 			if !known {
-				w = s.addWorker(in, s.chance.ExpFloat64()/in.Size*(1+farther*one(in.Zone != s.orders.Zone)))
+				rank := s.chance.ExpFloat64() / in.Size * (1 + farther*one(in.Zone != s.orders.Zone))
+				w = s.addWorker(in, rank+notOurs*one(!s.ours(in.ID)))
 			}
 			s.renew(w, in)
 		}
@@ -741,7 +747,7 @@
 		s.calmRate = float64(len(s.arrivals)) / float64(s.span)
 	}
 	for i := range s.profiles {
-		if p := &s.profiles[i]; p.seen >= max(5, 10*leastSample/s.orders.Sentries) {
+		if p := &s.profiles[i]; p.seen >= max(1, 10*leastSample/s.orders.Sentries) {
 			p.calm = p.bar
 		}
 	}
@@ -928,9 +934,10 @@
 	return s.load() / s.calmLoad
 }
 
-// watched says whether the newest build is on trial or freshly released.
+// watched says whether the newest build is on trial or freshly released; hundreds of sentries see what is slow
+// everywhere long before each has met the trial itself.
 func (s *Sentry) watched() bool {
-	return s.judged > 0 && (s.news.Phase == OnTrial || s.now-s.toldAt <= 2*noAlarmTime)
+	return (s.judged > 0 || s.together() && s.news.Phase == OnTrial) && (s.news.Phase == OnTrial || s.now-s.toldAt <= 2*noAlarmTime)
 }
 
 // quickPace is the pace that a quarter of the ready workers keeps or beats.
@@ -1037,12 +1044,60 @@
 	}
 }
 
+// Neighbours. Where sentries are about as many as workers, each learns of a worker's load once in seconds: most
+// go to busy workers while others idle. Some sentries then share some workers, which all prefer, and tell each
+// other of every hand-off to these, in three bytes.
+const (
+	groupSize = 8
+	oursLeast = 6 // workers in a group, else there is none
+	notOurs   = 1e6
+)
+
+func (s *Sentry) groups() int { return max(1, s.orders.Sentries/groupSize) }
+
+// shares says whether this sentry is in a group with others.
+func (s *Sentry) shares() bool {
+	r := s.rosters[s.base]
+	return s.together() && r != nil && r.ours >= oursLeast
+}
+
+// ours says whether a worker is one of this sentry's group.
+func (s *Sentry) ours(id WorkerID) bool {
+	return s.together() && int(shortName(id))%s.groups() == int(s.orders.Position)%s.groups()
+}
+
+func (s *Sentry) tellNear(w int) {
+	if !s.shares() || s.rank[w] >= notOurs {
+		return
+	}
+	body, g := pack(asHandOff, []uint64{shortName(s.workers[w].ID)}), s.groups()
+	for i := int(s.orders.Position) % g; i < s.orders.Sentries; i += g {
+		if SentryID(i) != s.orders.Position {
+			s.out.Messages = append(s.out.Messages, Message{To: SentryID(i), Body: body})
+		}
+	}
+}
+
+// nearNow is how much of what the neighbours handed to a worker it still has, taken to do one after the other.
+func (s *Sentry) nearNow(w int) float64 {
+	if s.near[w] == 0 {
+		return 0
+	}
+	usual := 0.0
+	for i := range s.profiles[:len(s.profiles)-1] {
+		usual += s.profiles[i].expected / float64(len(s.profiles)-1)
+	}
+	return max(0, s.near[w]-float64(s.now-s.nearAt[w])/max(1, usual))
+}
+
 // PeerSaid takes a message. What does not hold together is dropped.
 func (s *Sentry) PeerSaid(now Micros, from SentryID, body []byte) Result {
 	return s.call(now, func() {
 		what, values := unpack(body)
 		known := from >= 0 && int(from) < s.orders.Sentries && from != s.orders.Position
-		switch {
+		switch w, named := s.named[slices.Max(append(values, 0))]; {
+		case known && what == asHandOff && len(values) == 1 && named:
+			s.near[w], s.nearAt[w] = s.nearNow(w)+1, s.now
 		case !known || len(values) == 0 || !s.news.Valid || BuildID(values[0]) != s.news.Build:
 		case what == asAdvice && len(values) == 3 && values[2] <= uint64(GoBack):
 			if v := Verdict(values[2]); v >= s.advice || s.now-s.advisedAt >= adviceFor {
--- a/logic/state.go
+++ b/logic/state.go
@@ -87,14 +87,16 @@
 	ownMisses [kinds][]uint64 // of these misses, what this sentry saw itself
 	inHand    []int           // own open hand-offs
 	others    []float64       // reported load beyond these
-	pace      []float64       // time of answers to what is expected
-	faults    []float64       // smoothed share of failures
-	breaks    []float64       // of failures that no load explains
-	heard     []Micros        // last end of a hand-off
-	shunned   []Micros        // not before then
-	revived   []Micros        // answered then, after it had been down
-	strikes   []int           // failed tries to reach it since it last answered
-	recent    [][]Micros      // hand-offs while cold
+	near      []float64       // hand-offs of the neighbours that it still has
+	nearAt    []Micros
+	pace      []float64  // time of answers to what is expected
+	faults    []float64  // smoothed share of failures
+	breaks    []float64  // of failures that no load explains
+	heard     []Micros   // last end of a hand-off
+	shunned   []Micros   // not before then
+	revived   []Micros   // answered then, after it had been down
+	strikes   []int      // failed tries to reach it since it last answered
+	recent    [][]Micros // hand-offs while cold
 	luckTill  []Micros
 	answered  []Micros         // last
 	gone      []Micros         // since when, if it is
@@ -157,6 +159,7 @@
 	use    int     // so many of them are its working set
 	can    float64 // what they can do by now
 	bears  float64 // what a trial may count on of it: the cold are mostly closed, and the warm would bear their part
+	ours   int     // how many of the first are this sentry's group's
 	newest Micros  // start of the youngest
 }
 
@@ -253,6 +256,7 @@
 		s.shunned, s.revived = append(s.shunned, 0), append(s.revived, 0)
 		s.strikes, s.recent = append(s.strikes, 0), append(s.recent, nil)
 		s.luck = append(s.luck, 0)
+		s.near, s.nearAt = append(s.near, 0), append(s.nearAt, 0)
 		for k := range kinds {
 			s.misses[k], s.ownMisses[k] = append(s.misses[k], 0), append(s.ownMisses[k], 0)
 		}
@@ -270,7 +274,7 @@
 }
 
 // First byte of a message.
-const asCounts, asAdvice = 1, 2
+const asCounts, asAdvice, asHandOff = 1, 2, 3
 
 // pack makes a message of one kind of whole numbers; unpack gives none where it is not such a message.
 func pack(what byte, values []uint64) []byte {
@@ -424,7 +428,7 @@
 			s.missed[k] -= s.misses[k][w]
 			s.misses[k][w], s.ownMisses[k][w] = 0, 0
 		}
-		s.others[w], s.pace[w], s.faults[w] = 0, 1, 0
+		s.others[w], s.pace[w], s.faults[w], s.near[w] = 0, 1, 0, 0
 		s.shunned[w], s.revived[w], s.strikes[w], s.answered[w] = 0, 0, 0, 0
 		s.breaks[w] = 0
 	}
