--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,7 +34,7 @@
 	wayFade       = 0.25
 	wayMost       = 10.0
 	slowWay       = 2.0  // times the own zone's, up to which a way is taken for chance
-	lean          = 1.3  // share sent to the trial build, to its share of what the fleet can do
+	lean          = 1.2  // share sent to the trial build, to its share of what the fleet can do
 	strained      = 0.2  // the earlier build's rate of late ones from which lateness tells of load alone
 	calmTimes     = 1.6  // a hand-off this many bars of before the trial long counts as late for all
 	calmSlack     = 0.2  // excess of these that is let pass
