--- a/cmd/scalechute/drill_test.go
+++ b/cmd/scalechute/drill_test.go
@@ -75,7 +75,7 @@
 	dir := t.TempDir()
 	r := runIn(t, dir, load(t, "short-day.hcl"), "")
 	log, err := os.ReadFile(filepath.Join(dir, "sentry-2.log")) // whose file was rewritten, each other time badly
-	for _, what := range []string{"routes loaded", "routes refused, the old ones stay", "block route has 0 labels"} {
+	for _, what := range []string{"orders loaded", "orders refused, the old ones stay", "block route has 0 labels"} {
 		if n := strings.Count(string(log), what); err != nil || n < 3 {
 			t.Errorf("%q is %d times in the log, expected more: %v", what, n, err)
 		}
--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -92,13 +92,13 @@
 				}
 			}()
 			watch(append([]string{config}, sheet.Files...), every, hangups, s.Done(), func() []string {
-				now, err := orders.Load(config)
-				same := false
+				now, err := orders.LoadBeside(config, sheet)
 				if err == nil {
-					sheet = now
-					same, err = s.Reload(now)
+					if err = s.Reload(now); err == nil {
+						sheet = now.After(sheet)
+					}
 				}
-				s.Loaded(now, same, err)
+				s.Loaded(now, err)
 				return append([]string{config}, sheet.Files...)
 			})
 			return nil
@@ -108,7 +108,7 @@
 	c.Flags().StringVar(&level, "level", "info", "least level of what is logged")
 	c.Flags().StringVar(&breach, "break", "", "break a rule on purpose: answer, effect, drain, cold or exposure")
 	c.Flags().StringVar(&profile, "profile", "", "write a processor profile to this file until the end")
-	c.Flags().DurationVar(&every, "watch", time.Second, "how often the file is looked at for new routes; 0: at SIGHUP only")
+	c.Flags().DurationVar(&every, "watch", time.Second, "how often the file is looked at for new orders; 0: at SIGHUP only")
 	_ = c.MarkFlagRequired("config")
 	c.Flags().BoolVar(&random, "random", false, "choose workers at random, as a baseline for drills")
 	_ = c.Flags().MarkHidden("break")
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -40,11 +40,12 @@
 	SentryDown             // a sentry's process was killed
 	Stopped                // a sentry's process was stopped
 	Resumed                // and goes on
+	Ordered                // a sentry was given other orders, which it has taken after a span at the latest
 )
 
 var kindNames = [...]string{"asked", "answered", "not taken", "left", "got", "ran", "ended", "turned away", "dropped",
 	"worker up", "worker down", "fell", "list told",
-	"listed", "followed", "fetched", "ask failed", "news told", "sentry up", "sentry down", "stopped", "resumed"}
+	"listed", "followed", "fetched", "ask failed", "news told", "sentry up", "sentry down", "stopped", "resumed", "ordered"}
 
 func (k Kind) String() string { return kindNames[k] }
 
@@ -79,6 +80,8 @@
 	Warm    logic.Micros      `json:"warm,omitempty"`  // WorkerUp: until warm, 0 if it starts so
 	State   logic.WorkerState `json:"state,omitempty"`
 	News    logic.News        `json:"news"`
+
+	Orders *logic.StandingOrders `json:"orders,omitempty"` // Ordered
 }
 
 // Breach is a rule that was broken.
@@ -162,6 +165,7 @@
 	lists   map[logic.SentryID]map[logic.WorkerID][]Event // what each was told, or is held to know
 	listed  []Event
 	asks    map[logic.SentryID][]asking
+	orders  map[logic.SentryID][]Event
 	finding Finding
 }
 
@@ -170,7 +174,8 @@
 	a := &auditor{o: o, slack: slack, events: slices.Clone(events), tries: map[string]*try{},
 		byWork: map[logic.WorkerID][]*handOff{}, lives: map[logic.SentryID][]life{},
 		stalls: map[logic.SentryID][]life{}, news: map[logic.SentryID][]Event{},
-		lists: map[logic.SentryID]map[logic.WorkerID][]Event{}, asks: map[logic.SentryID][]asking{}}
+		lists: map[logic.SentryID]map[logic.WorkerID][]Event{}, asks: map[logic.SentryID][]asking{},
+		orders: map[logic.SentryID][]Event{}}
 	slices.SortStableFunc(a.events, func(x, y Event) int { return cmp.Compare(x.At, y.At) })
 	a.gather()
 	a.deem()
@@ -189,8 +194,8 @@
 		if t.left == nil && t.notTaken == nil && len(t.answers) == 0 {
 			a.finding.Unclosed++
 		}
-		a.answer(t)
-		a.effect(t)
+		a.either(t.asked.Sentry, t.asked.At, t.asked.At+t.asked.Span, func() { a.answer(t) })
+		a.either(t.asked.Sentry, t.asked.At, t.asked.At, func() { a.effect(t) })
 		for _, h := range t.handOffs {
 			if h.Profile != t.asked.Profile || t.asked.Key != "" && h.Key != t.asked.Key {
 				a.finding.Misjudged++
@@ -204,6 +209,35 @@
 	return a.finding
 }
 
+// either holds a check against all orders that a sentry may have had within a time. Only what is a breach by each of
+// them is one.
+func (a *auditor) either(s logic.SentryID, from, to logic.Micros, check func()) {
+	all := []*logic.StandingOrders{a.o}
+	for i := range a.orders[s] {
+		e := &a.orders[s][i]
+		if to < e.At-a.slack {
+			break
+		}
+		if from > e.At+e.Span+a.slack {
+			all = all[:0]
+		}
+		all = append(all, e.Orders)
+	}
+	was, before := a.o, a.finding.Breaches
+	var found []Breach
+	for _, o := range all {
+		a.o, a.finding.Breaches = o, nil
+		check()
+		if found = a.finding.Breaches; len(found) == 0 {
+			break
+		}
+	}
+	a.o, a.finding.Breaches = was, before
+	if len(before) < mostBreaches {
+		a.finding.Breaches = append(before, found...)
+	}
+}
+
 const never = logic.Micros(1) << 60
 
 func (a *auditor) try(name string) *try {
@@ -275,6 +309,8 @@
 			if l := a.lives[e.Sentry]; len(l) > 0 {
 				l[len(l)-1].to = e.At
 			}
+		case Ordered:
+			a.orders[e.Sentry] = append(a.orders[e.Sentry], *e)
 		case Stopped:
 			a.stalls[e.Sentry] = append(a.stalls[e.Sentry], life{e.At, never})
 		case Resumed:
@@ -436,6 +472,9 @@
 
 // effect is rule 2: nothing runs twice that must not.
 func (a *auditor) effect(t *try) {
+	if int(t.asked.Profile) >= len(a.o.Profiles) {
+		return // it was taken by other orders
+	}
 	p := &a.o.Profiles[t.asked.Profile]
 	for j, h := range t.handOffs {
 		for _, first := range t.handOffs[:j] {
@@ -479,28 +518,32 @@
 // drain is rule 3: nothing new to a worker that drains or is gone, past the grace.
 func (a *auditor) drain() {
 	for _, h := range a.all {
-		told := a.lists[h.Sentry][h.Worker]
-		since := never
-		for _, e := range told {
-			if e.At > h.At {
-				break
-			}
-			switch {
-			case e.State == logic.Ready:
-				since = never
-			case since == never:
-				since = e.At
-			}
-		}
-		if since == never || a.bornAfter(h.Sentry, since, h.At) {
-			continue
+		a.either(h.Sentry, h.At, h.At, func() { a.drained(h) })
+	}
+}
+
+func (a *auditor) drained(h *handOff) {
+	told := a.lists[h.Sentry][h.Worker]
+	since := never
+	for _, e := range told {
+		if e.At > h.At {
+			break
 		}
-		// What was ruled in time may wait for its connection.
-		if last := a.informed(h.Sentry, since) + a.o.DrainGrace + a.o.ConnectLimit; h.At > last {
-			a.breach(3, h.At, a.tries[h.Try], "%s: handed off to %s %d us after sentry %d was told that it drains or is gone",
-				h.Try, h.Worker, h.At-since, h.Sentry)
+		switch {
+		case e.State == logic.Ready:
+			since = never
+		case since == never:
+			since = e.At
 		}
 	}
+	if since == never || a.bornAfter(h.Sentry, since, h.At) {
+		return
+	}
+	// What was ruled in time may wait for its connection.
+	if last := a.informed(h.Sentry, since) + a.o.DrainGrace + a.o.ConnectLimit; h.At > last {
+		a.breach(3, h.At, a.tries[h.Try], "%s: handed off to %s %d us after sentry %d was told that it drains or is gone",
+			h.Try, h.Worker, h.At-since, h.Sentry)
+	}
 }
 
 // bornAfter says whether a sentry's run at one time began after another.
@@ -566,22 +609,18 @@
 // exposure is rule 5: what a sentry hands off to a build on trial stays within the free allowance and the cap's
 // part of what it took, in any window; guarded stages and keys that go forward only.
 func (a *auditor) exposure() {
-	counters := 1
-	if a.o.ExposureByProfile {
-		counters = len(a.o.Profiles)
+	rows := 1
+	for i := range a.events {
+		rows = max(rows, int(a.events[i].Profile)+2)
 	}
 	for s := range a.o.Sentries {
 		id := logic.SentryID(s)
-		taken, sent := make([][]logic.Micros, counters), make([][]*handOff, counters)
-		counter := func(p logic.ProfileID) int {
-			if counters == 1 {
-				return 0
-			}
-			return int(p)
-		}
+		taken, sent := make([][]logic.Micros, rows), make([][]*handOff, rows) // over all first, then by profile
 		for i := range a.events {
 			if e := &a.events[i]; e.Kind == Asked && e.Sentry == id && a.tries[e.Try].notTaken == nil {
-				taken[counter(e.Profile)] = append(taken[counter(e.Profile)], e.At)
+				for _, row := range []int{0, 1 + int(e.Profile)} {
+					taken[row] = append(taken[row], e.At)
+				}
 			}
 		}
 		met := map[logic.Key]met{}
@@ -592,8 +631,16 @@
 			n := a.newsAt(id, h.At)
 			a.forward(met, h, n)
 			if onTrial, _, _ := a.trial(id, h); onTrial {
-				sent[counter(h.Profile)] = append(sent[counter(h.Profile)], h)
-				a.exposed(id, h, sent[counter(h.Profile)], taken[counter(h.Profile)])
+				for _, row := range []int{0, 1 + int(h.Profile)} {
+					sent[row] = append(sent[row], h)
+				}
+				a.either(id, h.At, h.At, func() {
+					row := 0
+					if a.o.ExposureByProfile {
+						row = 1 + int(h.Profile)
+					}
+					a.exposed(id, h, sent[row], taken[row])
+				})
 			}
 		}
 	}
@@ -696,7 +743,7 @@
 		return later && a.o.GuardedStages > 0 ||
 			e != nil && e.News.Build == h.Build && e.News.Phase == logic.OnTrial && e.News.Stage < a.o.GuardedStages
 	}
-	if a.o.Profiles[h.Profile].Repeat != logic.Redoable && guarded(latest) && guarded(before) {
+	if int(h.Profile) < len(a.o.Profiles) && a.o.Profiles[h.Profile].Repeat != logic.Redoable && guarded(latest) && guarded(before) {
 		a.breach(5, h.At, a.tries[h.Try], "sentry %d handed off what is not redoable to build %d at a guarded stage", s, h.Build)
 	}
 }
--- a/internal/benchwire/facts.go
+++ b/internal/benchwire/facts.go
@@ -67,8 +67,6 @@
 			MetricsPeriodNs  int64     `json:"metrics_period_ns"`
 			OnVotes          int       `json:"on_votes"`
 			SampledShare     float64   `json:"sampled_share"`
-			ToldEveryNs      int64     `json:"told_every_ns"`
-			WarmKeys         bool      `json:"warm_keys"`
 			Shares           []float64 `json:"shares"`
 			Shielded         int       `json:"shielded"`
 			StaleBuildPrice  float64   `json:"stale_build_price"`
@@ -146,9 +144,8 @@
 		OnVotes: f.FamilyInfo.OnVotes, HoldVotes: f.FamilyInfo.VotesToHold, BackVotes: f.FamilyInfo.VotesToRevert,
 		VoteLife: us(f.FamilyInfo.VoteTTLNs), VoteWait: us(f.FamilyInfo.AnswerWaitNs),
 		VotesPerSecond: f.FamilyInfo.VotesPerS, Bake: us(f.FamilyInfo.BakeNs),
-		ComplaintShare: f.FamilyInfo.ComplaintShare, ToldEvery: us(f.FamilyInfo.ToldEveryNs),
-		CountsEvery: us(f.FamilyInfo.MetricsPeriodNs), CountsShare: f.FamilyInfo.SampledShare,
-		WarmKeys:    f.FamilyInfo.WarmKeys,
+		ComplaintShare: f.FamilyInfo.ComplaintShare,
+		CountsEvery:    us(f.FamilyInfo.MetricsPeriodNs), CountsShare: f.FamilyInfo.SampledShare,
 		BehindPrice: f.FamilyInfo.StaleBuildPrice, HarmPrice: f.FamilyInfo.HarmFee,
 		CrossPrice: f.Prices.CrossZone, WastePrice: f.Prices.Waste, OverShareValue: f.OverShareWorth,
 	}
--- a/internal/input/input.go
+++ b/internal/input/input.go
@@ -18,6 +18,8 @@
 	NewsCame
 	Complained
 	PeerSaid
+	Counted
+	Ordered
 	Probed // tells the module nothing; it is kept for the record
 )
 
@@ -32,7 +34,9 @@
 	List        []logic.Worker
 	News        logic.News
 	Complaint   logic.Complaint
-	From        logic.SentryID // PeerSaid
+	Counts      logic.Counts          // Counted
+	Orders      *logic.StandingOrders // Ordered
+	From        logic.SentryID        // PeerSaid
 	Body        []byte
 	Worker      logic.WorkerID // Probed
 	Held        float64
@@ -59,6 +63,10 @@
 		return s.Complained(in.At, in.Complaint)
 	case PeerSaid:
 		return s.PeerSaid(in.At, in.From, in.Body)
+	case Counted:
+		return s.Counted(in.At, in.Counts)
+	case Ordered:
+		return s.Ordered(in.At, *in.Orders)
 	default:
 		return logic.Result{}
 	}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -3,8 +3,11 @@
 package orders
 
 import (
+	"fmt"
 	"net"
+	"reflect"
 	"strconv"
+	"strings"
 	"time"
 
 	"scalechute/internal/hclread"
@@ -17,6 +20,7 @@
 	Standing     logic.StandingOrders
 	ProfileNames []string
 	AccountNames []string
+	Gone         []bool // places whose profile is no longer taken, by a sentry that runs on
 	Zones        []string
 	Post         Post
 	Bounds       Bounds
@@ -24,6 +28,69 @@
 	Routes       *routes.Book // nil if transactions say themselves what they are
 }
 
+// Clash is what a running sentry can't take from a new sheet: the block and value at fault, and what was expected.
+type Clash struct{ Block, Name, Text string }
+
+func (c Clash) Error() string { return c.Block + ": " + c.Name + ": " + c.Text }
+
+// Clashes lists what a sentry that runs by one sheet can't change over to from it. Everything else it can.
+func (s *Sheet) Clashes(now *Sheet) (all []Clash) {
+	same := func(block, name string, was, is any) {
+		if !reflect.DeepEqual(was, is) {
+			all = append(all, Clash{block, name, fmt.Sprintf("found %v, expected %v as the sentry runs with: it changes with a new start", is, was)})
+		}
+	}
+	was, is := &s.Post, &now.Post
+	same("sentry", "position", s.Standing.Position, now.Standing.Position)
+	same("sentry", "listen", was.Listen, is.Listen)
+	same("sentry", "metrics", was.Metrics, is.Metrics)
+	same("sentry", "memory", was.Memory, is.Memory)
+	same("sentry", "list", was.List, is.List)
+	same("sentry", "desk", was.Desk, is.Desk)
+	same("sentry", "seed", was.Seed, is.Seed)
+	same("sentry", "zone", s.Standing.Zone, now.Standing.Zone)
+	same("deployment", "zones", s.Zones, now.Zones[:min(len(s.Zones), len(now.Zones))])
+	same("bounds", "inbox", s.Bounds.Inbox, now.Bounds.Inbox)
+	same("bounds", "hand_offs_per_connection", s.Bounds.HandOffsConnection, now.Bounds.HandOffsConnection)
+	same("bounds", "frame_bytes", s.Bounds.Frame, now.Bounds.Frame)
+	same("bounds", "unwritten_bytes", s.Bounds.Unwritten, now.Bounds.Unwritten)
+	for _, x := range []struct {
+		kind     string
+		was, now []string
+	}{{"profile", s.ProfileNames, now.ProfileNames}, {"account", s.AccountNames, now.AccountNames}} {
+		for i, name := range x.now {
+			if i < len(x.was) && x.was[i] != "" && name != "" && x.was[i] != name {
+				all = append(all, Clash{x.kind + " " + name, "place", fmt.Sprintf(
+					"found at place %d, expected %s there as clients know it: an empty place or a new one", i, x.was[i])})
+			}
+		}
+	}
+	return all
+}
+
+// After is the sheet for a sentry that has run by another one: a place that it no longer fills stays with its old
+// name, so that no other can take it, and takes nothing.
+func (s *Sheet) After(was *Sheet) *Sheet {
+	now := *s
+	now.Gone = make([]bool, max(len(s.ProfileNames), len(was.ProfileNames)))
+	now.ProfileNames, now.Standing.Profiles = nil, nil
+	for i := range now.Gone {
+		name, p := "", logic.Profile{DueTime: 1_000_000, OuterLimit: 1_000_000}
+		if i < len(s.ProfileNames) && s.ProfileNames[i] != "" {
+			name, p = s.ProfileNames[i], s.Standing.Profiles[i]
+		} else if now.Gone[i] = true; i < len(was.ProfileNames) && was.ProfileNames[i] != "" {
+			name, p = was.ProfileNames[i], was.Standing.Profiles[i]
+		}
+		now.ProfileNames, now.Standing.Profiles = append(now.ProfileNames, name), append(now.Standing.Profiles, p)
+	}
+	return &now
+}
+
+// Takes says whether a place has a profile that is taken.
+func (s *Sheet) Takes(place int) bool {
+	return place < len(s.ProfileNames) && s.ProfileNames[place] != "" && (place >= len(s.Gone) || !s.Gone[place])
+}
+
 // OuterLimit is that of the profile with the longest: nothing is open any longer.
 func (s *Sheet) OuterLimit() (longest logic.Micros) {
 	for _, p := range s.Standing.Profiles {
@@ -71,11 +138,41 @@
 	return read(f)
 }
 
-func read(f *hclread.File) (*Sheet, error) {
+// LoadBeside is Load for a sentry that runs by another sheet: what it can't change over to is a fault too.
+func LoadBeside(name string, running *Sheet) (*Sheet, error) {
+	f, err := hclread.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	return readBeside(f, running)
+}
+
+// ParseBeside is LoadBeside for what was read already.
+func ParseBeside(name string, source []byte, running *Sheet) (*Sheet, error) {
+	f, err := hclread.Parse(name, source)
+	if err != nil {
+		return nil, err
+	}
+	return readBeside(f, running)
+}
+
+func read(f *hclread.File) (*Sheet, error) { return readBeside(f, nil) }
+
+func readBeside(f *hclread.File, running *Sheet) (*Sheet, error) {
 	s := Shared(f.Root)
 	s.Files = f.Files
 	s.post(f.Root.Block("sentry", true))
 	f.Root.Done()
+	if running != nil && f.Err() == nil {
+		for _, c := range running.Clashes(s) {
+			kind, label, _ := strings.Cut(c.Block, " ")
+			for _, b := range f.Root.Blocks(kind, labels[kind]) {
+				if label == "" || b.Labels[0] == label {
+					b.FaultAt(c.Name, "%s", c.Text)
+				}
+			}
+		}
+	}
 	if err := f.Err(); err != nil {
 		return nil, err
 	}
@@ -155,9 +252,17 @@
 				b.Fault("profile %s stands twice, expected once", other)
 			}
 		}
+		place := b.Whole("place", false, len(s.ProfileNames), 0, 255)
 		b.Done()
-		s.ProfileNames = append(s.ProfileNames, b.Labels[0])
-		s.Standing.Profiles = append(s.Standing.Profiles, p)
+		for len(s.ProfileNames) <= place { // a place that none has takes nothing
+			s.ProfileNames = append(s.ProfileNames, "")
+			s.Standing.Profiles = append(s.Standing.Profiles, logic.Profile{DueTime: 1_000_000, OuterLimit: 1_000_000})
+		}
+		if other := s.ProfileNames[place]; other != "" {
+			b.FaultAt("place", "found %d, expected one that %s does not have", place, other)
+			continue
+		}
+		s.ProfileNames[place], s.Standing.Profiles[place] = b.Labels[0], p
 	}
 	if len(s.ProfileNames) == 0 {
 		root.Fault("no block profile, expected at least one")
@@ -228,6 +333,11 @@
 	o.VotesPerSecond = b.Figure("votes_per_second", false, 100, 0.01, 1e6)
 	o.Bake = b.Span("bake", true, time.Second, 0, 24*hour)
 	o.ComplaintShare = b.Figure("complaint_share", false, 0, 0, 1)
+	o.CountsEvery = b.Span("counts_every", false, 0, 0, hour)
+	o.CountsShare = b.Figure("counts_share", o.CountsEvery > 0, 0, 0, 1)
+	if o.CountsShare > 0 && o.CountsEvery == 0 {
+		b.FaultAt("counts_share", "found %g without counts_every, expected both or none", o.CountsShare)
+	}
 	b.Done()
 	if len(o.StageCaps) != len(o.StageShares) || len(o.StageCaps) == 0 {
 		b.FaultAt("stage_caps", "found %d, expected as many as stage_shares (%d) and one at least",
--- a/internal/sentry/inbox.go
+++ b/internal/sentry/inbox.go
@@ -43,6 +43,7 @@
 	evSaved
 	evStop
 	evInspect
+	evCounts
 )
 
 // event is what a socket has brought, stamped when it was taken into the inbox.
@@ -53,6 +54,8 @@
 	account uint32
 	ended   uint32
 	held    uint32
+	busy    uint32
+	served  uint32
 	again   bool
 
 	unrouted uint8 // why no route takes it, 0 if one does or none is asked
@@ -71,6 +74,7 @@
 	err      error
 	report   *pb.Report
 	news     *pb.News
+	counts   *pb.Counts
 	call     func()
 }
 
--- a/internal/sentry/metrics.go
+++ b/internal/sentry/metrics.go
@@ -33,6 +33,8 @@
 	unknown, misfits, reloaded, refused              prometheus.Counter
 	unrouted                                         [len(unroutedNames)]prometheus.Counter
 
+	takenBy, outcomesBy *prometheus.CounterVec
+
 	mu      sync.Mutex
 	times   []*hdrhistogram.Histogram // by profile, microseconds to a satisfying answer
 	profile []string
@@ -42,25 +44,16 @@
 }
 
 func newMetrics(s *Sentry) *metrics {
-	m := &metrics{registry: prometheus.NewRegistry(), profile: s.sheet.ProfileNames}
+	m := &metrics{registry: prometheus.NewRegistry()}
 	count := func(name, help string, labels ...string) *prometheus.CounterVec {
 		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "scalechute", Name: name, Help: help}, labels)
 		m.registry.MustRegister(c)
 		return c
 	}
 	one := func(name, help string) prometheus.Counter { return count(name, help).WithLabelValues() }
-	taken := count("transactions_taken_total", "Transactions taken.", "profile")
-	outcomes := count("answers_total", "Final answers.", "profile", "outcome")
+	m.takenBy = count("transactions_taken_total", "Transactions taken.", "profile")
+	m.outcomesBy = count("answers_total", "Final answers.", "profile", "outcome")
 	endings := count("hand_off_ends_total", "Ends of hand-offs.", "ending")
-	for _, p := range m.profile {
-		m.taken = append(m.taken, taken.WithLabelValues(p))
-		var row [len(outcomeNames)]prometheus.Counter
-		for i, o := range outcomeNames {
-			row[i] = outcomes.WithLabelValues(p, o)
-		}
-		m.outcomes = append(m.outcomes, row)
-		m.times = append(m.times, hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3))
-	}
 	for i, e := range endingNames {
 		m.endings[i] = endings.WithLabelValues(e)
 	}
@@ -72,8 +65,8 @@
 	}
 	m.unknown = one("attributes_unknown_total", "Attributes that came and are not declared.")
 	m.misfits = one("attributes_misfit_total", "Attributes that came and do not fit their type; they count as missing.")
-	m.reloaded = one("routes_loaded_total", "Loads of routes that were taken.")
-	m.refused = one("routes_refused_total", "Loads of routes that were refused.")
+	m.reloaded = one("orders_loaded_total", "Loads of orders that were taken.")
+	m.refused = one("orders_refused_total", "Loads of orders that were refused.")
 	m.overdue = one("overdue_total", "Transactions that the module left unanswered; always 0.")
 	m.faults = one("connection_faults_total", "Connections closed for what came over them.")
 	m.handOffs = one("hand_offs_total", "Hand-offs written to a worker.")
@@ -91,7 +84,7 @@
 		return float64(n)
 	})
 	gauge("routes", "Routes in use.", func() float64 {
-		if r := s.routing.Load(); r != nil {
+		if r := s.routing.Load(); r.book != nil {
 			return float64(len(r.book.Table.Routes))
 		}
 		return 0
@@ -104,6 +97,30 @@
 	return m
 }
 
+// name gives each place of a profile its counters: a new one new ones, one that was there keeps its own.
+func (m *metrics) name(profiles []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, p := range profiles {
+		switch {
+		case i >= len(m.profile):
+			m.profile, m.taken = append(m.profile, p), append(m.taken, nil)
+			m.outcomes, m.times = append(m.outcomes, [len(outcomeNames)]prometheus.Counter{}), append(m.times, nil)
+		case m.profile[i] == p:
+			continue
+		}
+		m.profile[i] = p
+		if p == "" {
+			continue
+		}
+		m.taken[i] = m.takenBy.WithLabelValues(p)
+		for n, o := range outcomeNames {
+			m.outcomes[i][n] = m.outcomesBy.WithLabelValues(p, o)
+		}
+		m.times[i] = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+	}
+}
+
 func (m *metrics) answered(t *transaction, o pb.Outcome, now logic.Micros) {
 	if int(o) < len(outcomeNames) {
 		m.outcomes[t.profile][o].Inc()
@@ -127,6 +144,9 @@
 	t.m.mu.Lock()
 	defer t.m.mu.Unlock()
 	for i, h := range t.m.times {
+		if h == nil {
+			continue
+		}
 		quantiles := map[float64]float64{}
 		for _, q := range []float64{0.5, 0.9, 0.99, 0.999} {
 			quantiles[q] = float64(h.ValueAtQuantile(100*q)) / 1e6
--- a/internal/sentry/routing.go
+++ b/internal/sentry/routing.go
@@ -2,10 +2,9 @@
 
 import (
 	"errors"
-	"reflect"
-	"slices"
 	"sync"
 
+	"scalechute/internal/input"
 	"scalechute/internal/match"
 	"scalechute/internal/orders"
 	"scalechute/internal/routes"
@@ -16,8 +15,9 @@
 // routing is the routes in use. A transaction that carries attributes is judged when its frame is read, on the poller, by
 // the one routing that it finds then; what it got it keeps, however often it is handed off and whatever is loaded later.
 type routing struct {
-	book  *routes.Book
-	spare sync.Pool // of *judge
+	sheet *orders.Sheet
+	book  *routes.Book // nil if it has none
+	spare sync.Pool    // of *judge
 }
 
 // judge is what reading and matching one transaction needs.
@@ -35,12 +35,12 @@
 	unknown, misfits int
 }
 
-// newRouting is nil without a book.
-func newRouting(b *routes.Book) *routing {
+func newRouting(sheet *orders.Sheet) *routing {
+	b := sheet.Routes
+	r := &routing{sheet: sheet, book: b}
 	if b == nil {
-		return nil
+		return r
 	}
-	r := &routing{book: b}
 	r.spare.New = func() any {
 		j := &judge{book: b, record: b.Schema.NewRecord(), order: make([]int, len(b.Schema.Attributes))}
 		j.wanted, j.put = j.want, func(v *match.Carried) {
@@ -80,9 +80,8 @@
 var unroutedNames = [...]string{notAbsent: "absent", notMatched: "no_match", notLoaded: "no_routes"}
 
 // judged fills in an event what its transaction's attributes say: profile, account and key, or why it is not taken.
-func (s *Sentry) judged(e *event, attributes []byte) error {
-	r := s.routing.Load()
-	if r == nil {
+func (s *Sentry) judged(r *routing, e *event, attributes []byte) error {
+	if r.book == nil {
 		e.unrouted = notLoaded
 		return nil
 	}
@@ -114,32 +113,40 @@
 	return nil
 }
 
-// ErrOtherNames refuses routes whose file has other profiles or accounts than the sentry runs with.
-var ErrOtherNames = errors.New("profiles or accounts are not those that the sentry runs with, expected the same: they change with a new start")
+// Reload takes the orders of a sheet that was read anew, whole, between two inputs of the loop. What was taken ends under
+// the profile that it came with; nothing that a rule counts starts anew. What a running sentry can't change is refused,
+// and the old orders stay.
+func (s *Sentry) Reload(sheet *orders.Sheet) (err error) {
+	err = errors.New("the sentry has stopped, expected it to run")
+	s.Inspect(func() { err = s.reorder(sheet) })
+	return err
+}
 
-// Reload takes the routes of a sheet that was read anew; from then on every transaction is judged by them. The sheet is
-// whole and without faults. Whether all else in it is as the sentry runs with comes back too: it takes effect at the
-// next start.
-func (s *Sentry) Reload(sheet *orders.Sheet) (same bool, err error) {
-	if !slices.Equal(sheet.ProfileNames, s.sheet.ProfileNames) || !slices.Equal(sheet.AccountNames, s.sheet.AccountNames) {
-		return false, ErrOtherNames
+// reorder is Reload on the loop.
+func (s *Sentry) reorder(sheet *orders.Sheet) error {
+	if all := s.sheet.Clashes(sheet); len(all) > 0 {
+		return all[0]
+	}
+	sheet = sheet.After(s.sheet)
+	asked := s.orders.AskForList
+	s.setPeers(sheet)
+	s.metrics.name(sheet.ProfileNames)
+	s.sheet, s.orders = sheet, &sheet.Standing
+	s.routing.Store(newRouting(sheet))
+	s.tell(input.Input{Kind: input.Ordered, Orders: s.orders})
+	if s.list.keep = !s.orders.AskForList; asked && s.list.keep {
+		s.askList(true)
 	}
-	s.routing.Store(newRouting(sheet.Routes))
-	now, then := *sheet, *s.sheet
-	now.Routes, then.Routes = nil, nil
-	return reflect.DeepEqual(&now, &then), nil
+	return nil
 }
 
 // Loaded books the outcome of a reload, with what was wrong.
-func (s *Sentry) Loaded(sheet *orders.Sheet, same bool, err error) {
+func (s *Sentry) Loaded(sheet *orders.Sheet, err error) {
 	if err != nil {
 		s.metrics.refused.Inc()
-		s.log.Error().Err(err).Msg("routes refused, the old ones stay")
+		s.log.Error().Err(err).Msg("orders refused, the old ones stay")
 		return
 	}
 	s.metrics.reloaded.Inc()
-	s.log.Info().Str("routes", sheet.Routes.Summary()).Msg("routes loaded")
-	if !same {
-		s.log.Warn().Msg("other blocks of the file have changed: they take effect at the next start")
-	}
+	s.log.Info().Str("routes", sheet.Routes.Summary()).Msg("orders loaded")
 }
--- a/internal/sentry/routing_test.go
+++ b/internal/sentry/routing_test.go
@@ -121,7 +121,7 @@
 	r.wait("the fault in the log", func() bool { return r.logged("found attributes that can't be read") })
 	c.askWith(99, words("kind", "handover", "truck", "b")) // the other connection goes on
 	c.want(99, pb.Outcome_SATISFIED)
-	if _, err := r.s.Reload(r.sheetWith(t, "")); err != nil {
+	if err := r.s.Reload(r.sheetWith(t, "")); err != nil {
 		t.Fatal(err)
 	}
 	c.askWith(100, words("kind", "handover", "truck", "b"))
@@ -217,7 +217,7 @@
 			case <-stop:
 				return
 			default:
-				if _, err := r.s.Reload(sheets[i%2]); err != nil {
+				if err := r.s.Reload(sheets[i%2]); err != nil {
 					t.Error(err)
 				}
 				runtime.Gosched()
@@ -236,19 +236,18 @@
 		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
 			t.Fatal(err)
 		}
-		sheet, err := orders.Load(file)
-		same := false
+		sheet, err := orders.LoadBeside(file, r.sheet)
 		if err == nil {
-			same, err = r.s.Reload(sheet)
+			err = r.s.Reload(sheet)
 		}
-		r.s.Loaded(sheet, same, err)
+		r.s.Loaded(sheet, err)
 		if err == nil {
 			taken++
 		} else {
 			refused++
 		}
-		if (err == nil) != (i%2 == 0) || err == nil && !same {
-			t.Fatalf("load %d: %v, same %v", i, err, same)
+		if (err == nil) != (i%2 == 0) {
+			t.Fatalf("load %d: %v", i, err)
 		}
 	}
 	close(stop)
@@ -270,14 +269,14 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	r := newRouting(&orders.Sheet{Routes: book})
 	s := &Sentry{}
-	s.routing.Store(newRouting(book))
 	body := attribute(attribute(words("kind", "reading", "truck", "0123456789abcdef"), "temp", match.Carried{Kind: match.Measure, Fig: 4, Unit: "celsius"}),
 		"legs", match.Carried{Kind: match.List, Items: []match.Carried{{Kind: match.Whole, Num: 4}, {Kind: match.Whole, Num: 9}}})
 	var e event
 	b.ReportAllocs()
 	for b.Loop() {
-		if err := s.judged(&e, body); err != nil || e.unrouted != 0 {
+		if err := s.judged(r, &e, body); err != nil || e.unrouted != 0 {
 			b.Fatal(err, e.unrouted)
 		}
 	}
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -139,16 +139,12 @@
 		module := logic.New(sheet.Standing, seed)
 		s.decide = func(in *input.Input) logic.Result { return input.Apply(module, in) }
 	}
-	s.routing.Store(newRouting(sheet.Routes))
+	s.routing.Store(newRouting(sheet))
 	s.metrics = newMetrics(s)
+	s.metrics.name(sheet.ProfileNames)
 	s.now = s.clock.now()
 	s.book = newBook(sheet.Zones)
-	s.peers = make([]*upstream, sheet.Standing.Sentries)
-	for i := range s.peers {
-		if address := sheet.Post.Peers[logic.SentryID(i)]; address != "" {
-			s.peers[i] = &upstream{name: "peer " + strconv.Itoa(i), address: address, role: pb.Hello_PEER, lossy: true}
-		}
-	}
+	s.setPeers(sheet)
 	s.list = &upstream{name: "list", address: sheet.Post.List, role: pb.Hello_SENTRY, keep: !s.orders.AskForList}
 	s.desk = &upstream{name: "desk", address: sheet.Post.Desk, role: pb.Hello_SENTRY, keep: true}
 
@@ -331,11 +327,11 @@
 		switch {
 		case h.over:
 		case h.conn != nil && h.until <= due:
-			s.handOffEnds(t, n, logic.TimedOut, -1)
+			s.handOffEnds(t, n, logic.TimedOut, logic.NoLoad)
 		case h.conn == nil && h.until <= due: // nothing of it was written
-			s.handOffEnds(t, n, logic.Unsent, -1)
+			s.handOffEnds(t, n, logic.Unsent, logic.NoLoad)
 		case h.conn == nil && h.connect <= due:
-			s.handOffEnds(t, n, logic.Unconnected, -1)
+			s.handOffEnds(t, n, logic.Unconnected, logic.NoLoad)
 		}
 	}
 	if t.gen != gen {
@@ -398,6 +394,8 @@
 			s.stopping = true
 			s.log.Info().Int("open", s.unclosed).Msg("stopping: nothing new is taken")
 		}
+	case evCounts:
+		s.counted(e.counts)
 	case evInspect:
 		e.call()
 	}
@@ -486,23 +484,24 @@
 	if !c.greeted {
 		return s.greet(c, kind, body)
 	}
+	r := s.routing.Load()
 	switch {
 	case kind == wire.KindAsk && !c.peer:
 		var m wire.Ask
 		if err := m.Read(body); err != nil {
 			return err
 		}
-		if int(m.Profile) >= len(s.orders.Profiles) {
-			return fault("profile "+strconv.Itoa(int(m.Profile)), "one of "+strconv.Itoa(len(s.orders.Profiles)))
+		if most := len(r.sheet.ProfileNames); int(m.Profile) >= most {
+			return fault("profile "+strconv.Itoa(int(m.Profile)), "one of "+strconv.Itoa(most))
 		}
-		if int(m.Account) > len(s.orders.Accounts) {
-			return fault("account "+strconv.Itoa(int(m.Account)), "at most "+strconv.Itoa(len(s.orders.Accounts)))
+		if most := len(r.sheet.AccountNames); int(m.Account) > most {
+			return fault("account "+strconv.Itoa(int(m.Account)), "at most "+strconv.Itoa(most))
 		}
 		e := event{kind: evAsk, client: c, id: m.ID, profile: m.Profile, account: m.Account, left: m.Left,
 			hint: m.Hint, again: m.Again}
 		if m.Attributes == nil {
 			e.key = logic.Key(m.Key)
-		} else if err := s.judged(&e, m.Attributes); err != nil {
+		} else if err := s.judged(r, &e, m.Attributes); err != nil {
 			return err
 		}
 		if len(m.Mark)+len(m.Payload) > 0 {
@@ -525,8 +524,8 @@
 		if err := unmarshal(body, &m); err != nil {
 			return err
 		}
-		if int(m.Profile) >= len(s.orders.Profiles) {
-			return fault("profile "+strconv.Itoa(int(m.Profile)), "one of "+strconv.Itoa(len(s.orders.Profiles)))
+		if most := len(r.sheet.ProfileNames); int(m.Profile) >= most {
+			return fault("profile "+strconv.Itoa(int(m.Profile)), "one of "+strconv.Itoa(most))
 		}
 		s.inbox.put(&event{kind: evComplaint, profile: m.Profile, key: logic.Key(m.Worker), left: m.Age}, true)
 		return nil
@@ -561,7 +560,7 @@
 	switch m.Role {
 	case pb.Hello_CLIENT:
 	case pb.Hello_PEER:
-		if int(m.Position) >= s.orders.Sentries || logic.SentryID(m.Position) == s.orders.Position {
+		if o := &s.routing.Load().sheet.Standing; int(m.Position) >= o.Sentries || logic.SentryID(m.Position) == o.Position {
 			return fault("a peer at position "+strconv.Itoa(int(m.Position)), "that of another sentry")
 		}
 		c.peer, c.from = true, logic.SentryID(m.Position)
@@ -589,7 +588,8 @@
 		c.link.Close(wire.ErrClosed)
 		return
 	}
-	if s.stopping || s.unclosed >= s.sheet.Bounds.Open {
+	// A profile may have gone since the frame was read.
+	if s.stopping || s.unclosed >= s.sheet.Bounds.Open || e.unrouted == 0 && !s.sheet.Takes(int(e.profile)) {
 		s.metrics.notTaken.Inc()
 		a := &s.scratch.answer
 		*a = wire.Answer{ID: e.id, Outcome: uint32(pb.Outcome_NOT_TAKEN)}
--- a/internal/sentry/sentry_test.go
+++ b/internal/sentry/sentry_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"scalechute/internal/input"
+	"scalechute/internal/orders"
 	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
 	"scalechute/logic"
@@ -686,6 +687,7 @@
 		o := &logic.StandingOrders{Sentries: 2, Profiles: make([]logic.Profile, 3), Accounts: make([]logic.Account, 1)}
 		for _, c := range []*client{{}, {greeted: true}, {greeted: true, peer: true, from: 1}} {
 			s := &Sentry{orders: o, inbox: newInbox(8, newClock())}
+			s.routing.Store(newRouting(&orders.Sheet{Standing: *o, ProfileNames: make([]string, 3), AccountNames: make([]string, 1)}))
 			err := s.fromClient(c, wire.Kind(kind), body)
 			for _, e := range s.inbox.take(nil) {
 				if err != nil || int(e.profile) >= len(o.Profiles) || int(e.account) > len(o.Accounts) || len(e.payload) > len(body) {
--- a/internal/sentry/upstream.go
+++ b/internal/sentry/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"scalechute/internal/input"
+	"scalechute/internal/orders"
 	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
 	"scalechute/logic"
@@ -23,6 +24,7 @@
 	retry         logic.Micros
 	asked         bool // of the list: follows it or awaits an answer
 	follow, whole bool // to be asked for once it is open
+	dropped       bool // new orders have no place for it
 }
 
 const (
@@ -50,6 +52,10 @@
 
 func (s *Sentry) upDialed(u *upstream, link *wire.Link, err error) {
 	u.dialing = false
+	if u.dropped && link != nil {
+		link.Close(wire.ErrClosed)
+		return
+	}
 	if err != nil || link.Dead() {
 		s.upFailed(u, err)
 		return
@@ -100,6 +106,13 @@
 		}
 		s.inbox.put(&event{kind: evReport, report: m}, true)
 		return nil
+	case kind == wire.KindCounts && u == s.desk:
+		m := &pb.Counts{}
+		if err := unmarshal(body, m); err != nil {
+			return err
+		}
+		s.inbox.put(&event{kind: evCounts, counts: m}, true)
+		return nil
 	case kind == wire.KindNews && u == s.desk:
 		m := &pb.News{}
 		if err := unmarshal(body, m); err != nil {
@@ -225,6 +238,44 @@
 	}
 }
 
+// counted tells the module what the platform counted, a row at a time.
+func (s *Sentry) counted(m *pb.Counts) {
+	for _, row := range m.Rows {
+		if int(row.Profile) >= len(s.orders.Profiles) || row.Failed > row.HandOffs {
+			s.metrics.faults.Inc()
+			s.log.Warn().Uint32("profile", row.Profile).Uint32("failed", row.Failed).
+				Msg("counts passed over, expected a profile that there is and no more failed than handed off")
+			continue
+		}
+		s.tell(input.Input{Kind: input.Counted, Counts: logic.Counts{Build: logic.BuildID(row.Build),
+			Profile: logic.ProfileID(row.Profile), HandOffs: int(row.HandOffs), Failed: int(row.Failed),
+			Mean: logic.Micros(min(row.Mean, 1<<50)), Age: logic.Micros(min(m.Age, 1<<50))}})
+	}
+}
+
+// setPeers takes over the addresses of the other sentries; what is open to one that has not changed stays so.
+func (s *Sentry) setPeers(sheet *orders.Sheet) {
+	was := s.peers
+	s.peers = make([]*upstream, sheet.Standing.Sentries)
+	for i := range s.peers {
+		address := sheet.Post.Peers[logic.SentryID(i)]
+		switch {
+		case i < len(was) && was[i] != nil && was[i].address == address:
+			s.peers[i], was[i] = was[i], nil
+		case address != "":
+			s.peers[i] = &upstream{name: "peer " + strconv.Itoa(i), address: address, role: pb.Hello_PEER, lossy: true}
+		}
+	}
+	for _, u := range was {
+		if u == nil {
+			continue
+		}
+		if u.dropped = true; u.link != nil {
+			u.link.Close(wire.ErrClosed)
+		}
+	}
+}
+
 func (s *Sentry) vote(v logic.Vote) {
 	s.metrics.votes.Inc()
 	s.voteSeq++
--- a/internal/sentry/workers.go
+++ b/internal/sentry/workers.go
@@ -66,7 +66,7 @@
 		h.until = t.limit
 	}
 	if t.closed || w == nil || h.until <= s.now || n >= s.orders.MostHandOffs {
-		s.handOffEnds(t, n, logic.Unsent, -1)
+		s.handOffEnds(t, n, logic.Unsent, logic.NoLoad)
 		return
 	}
 	h.connect = s.now + s.orders.ConnectLimit
@@ -182,7 +182,7 @@
 	w.waiting = left
 	for _, x := range over {
 		if x.open() {
-			s.handOffEnds(x.t, x.n, logic.Unconnected, -1)
+			s.handOffEnds(x.t, x.n, logic.Unconnected, logic.NoLoad)
 		}
 	}
 }
@@ -194,7 +194,7 @@
 		if x.open() {
 			if x.t.closed {
 				w.waiting = w.waiting[1:]
-				s.handOffEnds(x.t, x.n, logic.Unsent, -1)
+				s.handOffEnds(x.t, x.n, logic.Unsent, logic.NoLoad)
 				continue
 			}
 			if !s.send(w, x.t, x.n) {
@@ -211,7 +211,7 @@
 }
 
 // handOffEnds tells the module of the end of a hand-off, once.
-func (s *Sentry) handOffEnds(t *transaction, n int, ending logic.Ending, held float64) {
+func (s *Sentry) handOffEnds(t *transaction, n int, ending logic.Ending, load logic.Load) {
 	h := &t.sends[n]
 	if h.over {
 		return
@@ -223,7 +223,7 @@
 	if h.conn != nil {
 		h.conn.release(h.id)
 	}
-	end := logic.HandOffEnd{Transaction: t.id, HandOff: n, Ending: ending, Took: s.now - h.sent, Load: logic.Load{Held: held, Busy: -1, Served: -1}}
+	end := logic.HandOffEnd{Transaction: t.id, HandOff: n, Ending: ending, Took: s.now - h.sent, Load: load}
 	if w != nil {
 		end.Worker = w.id
 	}
@@ -252,7 +252,7 @@
 		if m.Ended > uint32(pb.Ended_TURNED_AWAY) {
 			return fault("ending "+strconv.Itoa(int(m.Ended)), "0 to 2")
 		}
-		e := event{kind: evDone, conn: c, id: m.ID, ended: m.Ended, held: m.Held}
+		e := event{kind: evDone, conn: c, id: m.ID, ended: m.Ended, held: m.Held, busy: m.Busy, served: m.Served}
 		if len(m.Payload) > 0 {
 			e.buffer = borrow()
 			*e.buffer = append((*e.buffer)[:0], m.Payload...)
@@ -299,7 +299,18 @@
 		s.scratch.name = append(s.scratch.name[:0], c.worker.id...)
 		s.answer(t, pb.Outcome_SATISFIED, 0, e.payload, s.scratch.name)
 	}
-	s.handOffEnds(t, x.n, ending, float64(e.held)-1)
+	s.handOffEnds(t, x.n, ending, loadOf(e))
+}
+
+// loadOf is what a worker told of its load; each figure comes plus one, 0 if it was not told.
+func loadOf(e *event) logic.Load {
+	part := func(v uint32) float64 {
+		if v == 0 {
+			return -1
+		}
+		return float64(v-1) / 1000
+	}
+	return logic.Load{Held: float64(e.held) - 1, Busy: part(e.busy), Served: part(e.served)}
 }
 
 // connLost ends all that was out on a connection: it may have run.
@@ -319,7 +330,7 @@
 	slices.SortFunc(out, func(a, b slot) int { return cmp.Compare(a.id, b.id) })
 	for _, x := range out {
 		if x.id != 0 && x.t.gen == x.gen {
-			s.handOffEnds(x.t, x.n, logic.Broken, -1)
+			s.handOffEnds(x.t, x.n, logic.Broken, logic.NoLoad)
 		}
 	}
 }
@@ -333,7 +344,7 @@
 	if h.conn != nil {
 		s.put(h.conn.link, wire.KindCancel, &wire.Plain{ID: h.id})
 	}
-	s.handOffEnds(t, n, logic.Cancelled, -1)
+	s.handOffEnds(t, n, logic.Cancelled, logic.NoLoad)
 }
 
 func (s *Sentry) probe(id logic.WorkerID) {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -33,6 +33,7 @@
 	KindNews
 	KindSay
 	KindWelcome
+	KindCounts
 	kinds
 )
 
--- a/internal/wire/hot.go
+++ b/internal/wire/hot.go
@@ -52,6 +52,8 @@
 	Ended   uint32
 	Held    uint32
 	Payload []byte
+	Busy    uint32
+	Served  uint32
 }
 
 // Plain is pb.Leave, pb.Cancel and pb.Probe: one number.
@@ -115,7 +117,9 @@
 	b = number(b, 1, m.ID)
 	b = number(b, 2, uint64(m.Ended))
 	b = number(b, 3, uint64(m.Held))
-	return bytesField(b, 4, m.Payload)
+	b = bytesField(b, 4, m.Payload)
+	b = number(b, 5, uint64(m.Busy))
+	return number(b, 6, uint64(m.Served))
 }
 
 func (m *Plain) appendTo(b []byte) []byte { return number(b, 1, m.ID) }
@@ -252,6 +256,10 @@
 			m.Ended = uint32(v)
 		case 3:
 			m.Held = uint32(v)
+		case 5:
+			m.Busy = uint32(v)
+		case 6:
+			m.Served = uint32(v)
 		}
 	}, func(f protowire.Number, v []byte) {
 		if f == 4 {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -40,8 +40,8 @@
 			data.Draw(t, "t"), n32.Draw(t, "n"), n64.Draw(t, "h")}
 		same(t, &work, &pb.Work{Id: work.ID, Profile: work.Profile, Key: work.Key, Left: work.Left, Mark: work.Mark,
 			Payload: work.Payload, Transaction: work.Transaction, Number: work.Number, Hint: work.Hint}, &Work{}, (*Work).Read)
-		done := Done{n64.Draw(t, "id"), uint32(rapid.IntRange(0, 2).Draw(t, "e")), n32.Draw(t, "h"), data.Draw(t, "p")}
-		same(t, &done, &pb.Done{Id: done.ID, Ended: pb.Ended(done.Ended), Held: done.Held, Payload: done.Payload}, &Done{}, (*Done).Read)
+		done := Done{n64.Draw(t, "id"), uint32(rapid.IntRange(0, 2).Draw(t, "e")), n32.Draw(t, "h"), data.Draw(t, "p"), n32.Draw(t, "b"), n32.Draw(t, "s")}
+		same(t, &done, &pb.Done{Id: done.ID, Ended: pb.Ended(done.Ended), Held: done.Held, Payload: done.Payload, Busy: done.Busy, Served: done.Served}, &Done{}, (*Done).Read)
 	})
 }
 
@@ -284,7 +284,7 @@
 	}{
 		{[]byte{0, 0, 0, 0, 1}, "frame: found length 0, expected 1 to 4194305"},
 		{[]byte{0xff, 0, 0, 0, 1}, "frame: found length 4278190080, expected 1 to 4194305"},
-		{[]byte{0, 0, 0, 1, 99}, "frame: found kind 99, expected 1 to 16"},
+		{[]byte{0, 0, 0, 1, 99}, "frame: found kind 99, expected 1 to 17"},
 	} {
 		l := dial()
 		l.PutRaw(c.raw)
--- a/logic/crowd_test.go
+++ b/logic/crowd_test.go
@@ -227,6 +227,9 @@
 			if c.chance.Intn(2) == 0 { // well formed, of another build, another length or falling counts
 				values := make([]uint64, 1+c.chance.Intn(2*len(s.mine)))
 				values[0] = uint64(9 + 3*c.chance.Intn(2))
+				if len(values) > 2 {
+					values[2] = uint64(len(values) - 3)
+				}
 				body = pack(byte(1+c.chance.Intn(2)), values)
 			}
 			s.PeerSaid(c.now, from, body)
@@ -234,8 +237,8 @@
 		if s.judged != 0 || s.allSum != 0 || len(s.reports) > 0 || s.advice != NoVerdict {
 			t.Fatalf("judged %d, all %v, advice %v", s.judged, s.allSum, s.advice)
 		}
-		values := append([]uint64{11, 7}, make([]uint64, len(s.mine))...)
-		values[2+place(0, errs, true)], values[3+place(0, errs, true)] = 30, 10
+		values := append([]uint64{11, 7, uint64(len(s.mine))}, make([]uint64, len(s.mine))...)
+		values[3+place(0, errs, true)], values[4+place(0, errs, true)] = 30, 10
 		from := (s.orders.Position + 1) % 5
 		for range 3 { // the same report again adds nothing
 			s.PeerSaid(c.now, from, pack(asCounts, values))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,6 +54,7 @@
 	othersFade    = 0.4
 	deadStrikes   = 3 // failed tries to reach a worker, seconds apart, after which it has been down
 	shunAbove     = 0.5
+	breaksWeigh   = 6.0        // of failures that no load explains, on the load of their worker
 	freshFor      = 3 * second // for how long what is heard of a worker counts
 	recallFor     = 20.0       // transactions for which a slow worker is remembered at the least
 	slowPace      = 1.5        // a pace up to it is taken for chance
@@ -68,25 +69,61 @@
 
 // New makes a sentry from its orders and the seed of its chance.
 func New(o StandingOrders, seed int64) *Sentry {
-	o.Sentries = max(1, o.Sentries)
 	s := &Sentry{
-		orders: o, chance: rand.New(rand.NewSource(seed)), span: max(o.ExposureWindow, o.FallSpan, second),
-		open: map[TransactionID]*transaction{}, index: map[WorkerID]int{}, named: map[uint64]int{},
-		rosters: map[BuildID]*roster{}, sentBack: map[BuildID]bool{}, met: map[Key]BuildID{}, again: map[Key]int{},
-		taken: make([][]Micros, max(1, len(o.Profiles))), exposed: make([][]Micros, max(1, len(o.Profiles))),
-	}
-	for _, p := range o.Profiles {
-		due := float64(p.DueTime)
-		s.longest, s.outermost = max(s.longest, p.DueTime), max(s.outermost, p.OuterLimit)
-		s.profiles = append(s.profiles, profileRow{
-			Profile: p, expected: due / 6, bar: due / 4, rate: [kinds]float64{firstRate, firstRate}})
+		chance: rand.New(rand.NewSource(seed)), open: map[TransactionID]*transaction{}, index: map[WorkerID]int{},
+		named: map[uint64]int{}, rosters: map[BuildID]*roster{}, sentBack: map[BuildID]bool{},
+		met: map[Key]BuildID{}, again: map[Key]int{}, taken: make([][]Micros, 1), exposed: make([][]Micros, 1),
 	}
-	s.profiles = append(s.profiles, profileRow{}) // the row for all
 	s.life = uint64(s.chance.Uint32())
+	s.follow(o)
 	s.newTrial()
 	return s
 }
 
+// follow takes over orders. A profile's row is found by its place; what was learnt of it stays.
+func (s *Sentry) follow(o StandingOrders) {
+	o.Sentries = max(1, o.Sentries)
+	s.orders, s.longest = o, 0
+	for i, p := range o.Profiles {
+		if due := float64(p.DueTime); i >= len(s.profiles) {
+			s.profiles = append(s.profiles, profileRow{
+				expected: due / 6, bar: due / 4, rate: [kinds]float64{firstRate, firstRate}})
+			s.taken, s.exposed = append(s.taken, nil), append(s.exposed, nil)
+		}
+		s.profiles[i].Profile = p
+		s.longest, s.outermost = max(s.longest, p.DueTime), max(s.outermost, p.OuterLimit)
+	}
+	s.span = max(o.ExposureWindow, o.FallSpan, second)
+	s.keep = max(s.keep, s.span)
+}
+
+// Ordered takes other orders while transactions are open and a build is on trial. What is open ends under the
+// profile that it came with; what rules count goes on, and the bound on exposure that held so far holds
+// beside the new one until its window is past.
+func (s *Sentry) Ordered(now Micros, o StandingOrders) Result {
+	return s.call(now, func() {
+		old, span := s.orders, float64(s.span)
+		was := exposure{old.FreeExposure, old.ExposureWindow, old.ExposureByProfile, 0}
+		s.bounds = slices.DeleteFunc(s.bounds, func(b exposure) bool {
+			past := b.until <= s.now
+			b.until = 0
+			return past || b == was
+		})
+		was.until = s.now + old.ExposureWindow + 4*old.Tick
+		s.bounds = append(s.bounds, was)
+		s.follow(o)
+		s.usual, s.calmLoad = s.usual*float64(s.span)/span, s.calmLoad*float64(s.span)/span
+		if len(s.mine) != s.places() { // counts by other places: they start anew under another name
+			s.mine, s.life = make([]uint64, s.places()), (s.life+1)%math.MaxUint32
+		}
+		for w := range s.rank {
+			s.rank[w] = math.Mod(s.rank[w], notOurs) + notOurs*one(!s.ours(s.workers[w].ID))
+		}
+		slices.SortFunc(s.order, func(a, b int) int { return cmp.Compare(s.rank[a], s.rank[b]) })
+		s.lookAround()
+	})
+}
+
 // call frames every call.
 func (s *Sentry) call(now Micros, do func()) Result {
 	if s.born > 0 && now > s.now+second { // it wakes more often than that: it has stood still
@@ -103,12 +140,6 @@
 	return s.out
 }
 
-// A stage passes a transaction on or keeps or ends it, and sees each ended hand-off on its way back.
-type stage struct {
-	ahead func(*Sentry, *transaction) bool
-	back  func(*Sentry, *transaction, *handOff)
-}
-
 var chain []stage
 
 func init() {
@@ -120,48 +151,6 @@
 	}
 }
 
-func (s *Sentry) run(t *transaction, from int) {
-	for _, st := range chain[from:] {
-		if !st.ahead(s, t) {
-			return
-		}
-	}
-}
-
-// Arrive takes a transaction.
-func (s *Sentry) Arrive(now Micros, in Transaction) Result {
-	return s.call(now, func() {
-		s.run(&transaction{Transaction: in, arrived: s.now}, 0)
-	})
-}
-
-// HandOffEnded takes the end of one hand-off back through the chain.
-func (s *Sentry) HandOffEnded(now Micros, e HandOffEnd) Result {
-	return s.call(now, func() {
-		t := s.open[e.Transaction]
-		if t != nil && e.HandOff >= 0 && e.HandOff < len(t.sends) && !t.sends[e.HandOff].over {
-			h := &t.sends[e.HandOff]
-			h.end, h.untimed = e, h.untimed || h.sent < s.stalled
-			t.closed = t.closed || e.Closed
-			for i := len(chain) - 1; i >= 0; i-- {
-				chain[i].back(s, t, h)
-			}
-			s.release()
-		}
-	})
-}
-
-// ClientLeft ends what is owed for a transaction: the client has gone, or its answer has begun to stream.
-func (s *Sentry) ClientLeft(now Micros, id TransactionID) Result {
-	return s.call(now, func() {
-		if t := s.open[id]; t != nil {
-			s.again[t.Key] += int(one(!t.closed))
-			t.closed = true
-			s.forget(t)
-		}
-	})
-}
-
 // Wake does what has come due.
 func (s *Sentry) Wake(now Micros) Result {
 	return s.call(now, func() {
@@ -184,15 +173,17 @@
 	t.slot = s.chance.Intn(100)
 	s.arrivals = trim(append(s.arrivals, s.now), s.now-s.span)
 	s.came += uint64(one(!s.repeated(t))) // what comes again is no more load
-	c := s.counter(t)
-	s.taken[c] = trim(append(s.taken[c], s.now), s.now-s.orders.ExposureWindow)
+	t.as = s.profiles[t.Profile].Profile
+	for _, c := range t.counters() {
+		s.taken[c] = trim(append(s.taken[c], s.now), s.now-s.keep)
+	}
 	s.spare = min(s.spare+spareShare, spareMost)
 	s.open[t.ID] = t
 	return s.hasRoom(t) || s.holdBack(t)
 }
 
-// hasRoom says whether one more may be open: a repeat wants half of the room free, for others have not had a try
-// yet, and clients that repeat at once and for long would leave nothing to them.
+// hasRoom says whether one more may be open: a repeat wants half of the room free, for others have not had a
+// try yet, and clients that repeat at once and for long would leave nothing to them.
 func (s *Sentry) hasRoom(t *transaction) bool {
 	return float64(s.busy) < s.room*(1-repeatsLess*one(t.Again))
 }
@@ -222,12 +213,8 @@
 		s.room += roomUp * max(1, 4/s.room)
 	}
 	own := max(roomFew, float64(s.longest)*float64(len(s.arrivals))/float64(s.span))
-	usual := 0.0 // open at a time by this sentry's usual traffic
-	for i := range s.profiles[:len(s.profiles)-1] {
-		p := &s.profiles[i]
-		one := min(p.expected, float64(p.DueTime)/6) // not what it takes in a jam
-		usual += s.usual * s.fleetCan / float64(s.span) * one / float64(len(s.profiles)-1)
-	}
+	// Open at a time by this sentry's usual traffic, in no jam.
+	usual := s.usual * s.fleetCan / float64(s.span) * min(s.usualTime(), float64(s.longest)/8)
 	s.room = min(max(s.room, roomLeast*max(ready/float64(s.orders.Sentries), usual), 1), roomMost*ready, own)
 }
 
@@ -241,7 +228,7 @@
 			t.slot = slotOf(t.Key, s.base, trial)
 		}
 		failedThere := len(t.sends) > 0 && t.sends[len(t.sends)-1].build == trial
-		guarded := s.news.Stage < s.orders.GuardedStages && s.profiles[t.Profile].Repeat != Redoable
+		guarded := s.news.Stage < s.orders.GuardedStages && t.as.Repeat != Redoable
 		if met || t.slot < s.reach && !guarded && !failedThere {
 			if !guarded && s.mayExpose(t) {
 				t.worker = s.choose(t, trial)
@@ -270,7 +257,7 @@
 
 // patience is how long a transaction is held: until an answer in time is no longer likely.
 func (s *Sentry) patience(t *transaction) Micros {
-	return min(t.arrived+s.profiles[t.Profile].DueTime/4, t.Limit-s.orders.Tick)
+	return min(t.arrived+t.as.DueTime/4, t.Limit-s.orders.Tick)
 }
 
 // release runs what was held again, when the workers or the news have changed.
@@ -297,7 +284,7 @@
 
 // giveUp answers at once: a deferral where a retry is harmless, else a write-off.
 func (s *Sentry) giveUp(t *transaction) bool {
-	p := &s.profiles[t.Profile]
+	p := &t.as
 	ran := slices.ContainsFunc(t.sends, func(h handOff) bool { return h.mayRun })
 	r := Ruling{Kind: WriteOff, Transaction: t.ID}
 	if !ran || p.Repeat == Redoable || p.Repeat == Labelled && p.Scope == ScopeAll {
@@ -309,7 +296,7 @@
 	s.out.Rulings = append(s.out.Rulings, r)
 	s.again[t.Key]++
 	if len(t.sends) == 0 && s.news.Phase == OnTrial && !s.counted() { // under the bound, slowness shows in these
-		s.judgeAll(p, float64(p.OuterLimit))
+		s.judgeAll(&s.profiles[t.Profile], float64(p.OuterLimit))
 	}
 	t.closed = true
 	s.forget(t)
@@ -363,7 +350,7 @@
 		if !s.ready(w, b, t) {
 			continue
 		}
-		load := s.score(w) * (1 + s.breaks[w])
+		load := s.score(w) * (1 + breaksWeigh*s.breaks[w]*s.recalled(w))
 		if len(t.sends)+1 >= s.orders.MostHandOffs { // the last one wants a worker that does not fail
 			load *= 1 + 20*s.breaks[w]
 		}
@@ -416,8 +403,8 @@
 // fresh is how much of what is known of a worker's load still counts: one that was full once is tried again.
 func (s *Sentry) fresh(w int) float64 { return max(0, 1-float64(s.now-s.heard[w])/float64(freshFor)) }
 
-// learnWay books how long answers take by zone: the way to one may be slow or lose what is sent, though each of
-// its workers is met too seldom to tell.
+// learnWay books how long answers take by zone: the way to one may be slow or lose what is sent, though each
+// of its workers is met too seldom to tell.
 func (s *Sentry) learnWay(w int, p *profileRow, h *handOff) {
 	z, took := s.workers[w].Zone, float64(h.end.Took)/p.expected
 	switch {
@@ -437,21 +424,21 @@
 	}
 }
 
-// farther is how much slower than the own zone another one is, as far as that can't be chance, 1 at the least.
+// farther is how much slower than the own zone another one is, beyond chance, 1 at the least.
 func (s *Sentry) farther(z ZoneID) float64 {
 	own := s.orders.Zone
 	if z == own || int(z) >= len(s.ways) || int(own) >= len(s.ways) {
 		return 1
 	}
-	memory := max(float64(freshFor), recallFor*float64(s.span)/float64(1+len(s.arrivals)))
-	fresh := max(0, 1-float64(s.now-s.waysAt[z])/memory)
+	fresh := max(0, 1-float64(s.now-s.waysAt[z])/s.memory())
 	return 1 + fresh*max(0, s.ways[z]/max(1, s.ways[own])/slowWay-1)
 }
 
 // recalled is the same for how slow it was, which a sentry with little to do remembers longer.
-func (s *Sentry) recalled(w int) float64 {
-	memory := max(float64(freshFor), recallFor*float64(s.span)/float64(1+len(s.arrivals)))
-	return max(0, 1-float64(s.now-s.heard[w])/memory)
+func (s *Sentry) recalled(w int) float64 { return max(0, 1-float64(s.now-s.heard[w])/s.memory()) }
+
+func (s *Sentry) memory() float64 {
+	return max(float64(freshFor), recallFor*float64(s.span)/float64(1+len(s.arrivals)))
 }
 
 // score is the load of a worker for its size: the lowest wins. Among equals chance decides, by size.
@@ -481,7 +468,7 @@
 	if s.workers[w].Build != b || s.workers[w].State != Ready || s.tooCold(w) {
 		return false
 	}
-	p := &s.profiles[t.Profile]
+	p := &t.as
 	for i := range t.sends {
 		h := &t.sends[i]
 		if h.worker == w && (!h.over || len(t.sends) < s.readyCount(b)) {
@@ -499,7 +486,7 @@
 }
 
 func (s *Sentry) handOff(t *transaction) bool {
-	p, w := &s.profiles[t.Profile], t.worker
+	w := t.worker
 	h := handOff{worker: w, build: s.workers[w].Build, sent: s.now, mayRun: true, opened: !s.connected(w)}
 	h.untimed = h.opened
 	t.sends = append(t.sends, h)
@@ -507,13 +494,15 @@
 	s.busy++
 	s.recent[w], s.handed = append(s.recent[w], s.now), append(s.handed, s.now)
 	if trial, onTrial := s.trial(); onTrial && s.workers[w].Build == trial {
-		s.exposed[s.counter(t)] = append(s.exposed[s.counter(t)], s.now)
+		for _, c := range t.counters() {
+			s.exposed[c] = trim(append(s.exposed[c], s.now), s.now-s.keep-4*s.orders.Tick)
+		}
 	}
 	s.tellNear(w)
 	r := Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: t.Limit}
 	s.out.Rulings = append(s.out.Rulings, r)
 	if s.orders.MayCopy && len(t.sends) == 1 {
-		s.alarm(s.now+p.DueTime/2, t)
+		s.alarm(s.now+t.as.DueTime/2, t)
 	}
 	return false
 }
@@ -523,7 +512,7 @@
 	if len(t.sends) >= s.orders.MostHandOffs || t.Limit-s.now < s.orders.Tick {
 		return false
 	}
-	p := &s.profiles[t.Profile]
+	p := &t.as
 	for i := range t.sends {
 		h := &t.sends[i]
 		if !h.over && !s.orders.MayCopy {
@@ -569,37 +558,6 @@
 	return (h.end.Ending == Broken || h.end.Ending == Unconnected) && h.end.Took < s.orders.ConnectLimit/8
 }
 
-// warmth is the least part of its work that a worker can do by now.
-func (s *Sentry) warmth(w int) float64 {
-	start := s.start(w)
-	if start <= 0 || s.orders.WarmUp <= 0 {
-		return 1
-	}
-	return s.orders.ColdFrom + (1-s.orders.ColdFrom)*s.warmed(w)
-}
-
-// warmed is how much of its warming up a worker has behind it, 0 to 1.
-func (s *Sentry) warmed(w int) float64 {
-	start := s.start(w)
-	if start <= 0 || s.orders.WarmUp <= 0 {
-		return 1
-	}
-	return min(1, max(0, float64(s.now-start)/float64(s.orders.WarmUp)))
-}
-
-// warmthOf is the same for all ready workers of a build that ran at some time.
-func (s *Sentry) warmthOf(b BuildID, at Micros) float64 {
-	can, size, now := 0.0, 0.0, s.now
-	s.now = at
-	for _, w := range s.order {
-		if in := &s.workers[w]; in.Build == b && in.State == Ready && s.start(w) < at {
-			can, size = can+in.Size*s.warmth(w), size+in.Size
-		}
-	}
-	s.now = now
-	return can / max(size, 1e-9)
-}
-
 // tooCold keeps this sentry's part of what all may send a cold worker: half the stated multiple of what one
 // of its size usually gets of this sentry's traffic, chance standing in for what is less than one. It guards
 // against bursts, retries and fleets that start anew falling on a few, however many sentries there are.
@@ -609,7 +567,7 @@
 		s.recent[w] = nil
 		return false
 	}
-	s.recent[w] = trim(s.recent[w], s.now-s.orders.FallSpan)
+	s.recent[w] = trim(s.recent[w], s.now-s.keep)
 	if s.now >= s.luckTill[w] {
 		s.luck[w], s.luckTill[w] = s.chance.Float64(), s.now+s.orders.FallSpan
 	}
@@ -618,7 +576,8 @@
 		fair *= float64(len(r.ready)) / float64(r.use)
 	}
 	extra := min(2, s.luck[w]+freeCold/float64(s.orders.Sentries))
-	return float64(len(s.recent[w])+1) > extra+coldPart*s.orders.FallMultiple*warmth*fair
+	sent := float64(since(s.recent[w], s.now-s.orders.FallSpan))
+	return sent+1 > extra+coldPart*s.orders.FallMultiple*warmth*fair
 }
 
 // holds is how many transactions a worker has by its report, below 0 if that can't be told. What is not told
@@ -628,11 +587,7 @@
 	if load.Held >= 0 || load.Served < 0 {
 		return load.Held
 	}
-	usual := 0.0
-	for i := range s.profiles[:len(s.profiles)-1] {
-		usual += s.profiles[i].expected / float64(len(s.profiles)-1)
-	}
-	return load.Served * s.pace[w] * usual / float64(second)
+	return load.Served * s.pace[w] * s.usualTime() / float64(second)
 }
 
 // learnWorker books what an ended hand-off says of its worker.
@@ -677,7 +632,7 @@
 		s.strikes[w], s.shunned[w], s.answered[w] = 0, 0, s.now
 	default:
 		if s.faults[w] > shunAbove {
-			s.shunned[w] = s.now + second
+			s.shunned[w] = s.now + max(second, Micros(s.memory()/4))
 		}
 	}
 }
@@ -805,12 +760,20 @@
 	return int(binary.BigEndian.Uint64(sum[:8]) % 100)
 }
 
-// mayExpose is the window counter: one more hand-off to the trial keeps within free + cap x taken.
+// mayExpose is the window counter: one more hand-off to the trial keeps within free + cap x taken, by the
+// orders and by those before them whose window is not past.
 func (s *Sentry) mayExpose(t *transaction) bool {
-	c, from := s.counter(t), s.now-s.orders.ExposureWindow+s.orders.Tick
-	s.exposed[c] = trim(s.exposed[c], from-3*s.orders.Tick)
-	taken := float64(since(s.taken[c], from))
-	return float64(len(s.exposed[c])+1) <= s.orders.FreeExposure+s.news.Cap*taken
+	o := &s.orders
+	if !s.within(t, exposure{o.FreeExposure, o.ExposureWindow, o.ExposureByProfile, 0}) {
+		return false
+	}
+	return !slices.ContainsFunc(s.bounds, func(b exposure) bool { return b.until > s.now && !s.within(t, b) })
+}
+
+func (s *Sentry) within(t *transaction, b exposure) bool {
+	c, from := t.counters()[int(one(b.byProfile))], s.now-b.window+s.orders.Tick
+	sent, taken := since(s.exposed[c], from-3*s.orders.Tick), since(s.taken[c], from)
+	return float64(sent+1) <= b.free+s.news.Cap*float64(taken)
 }
 
 // learnBuild books an ended hand-off with the builds: what the trial fails beyond the earlier build's rate
@@ -839,7 +802,8 @@
 		if warm {
 			s.judgeAll(p, took)
 		}
-		s.observe(t.Profile, errs, h.build != s.base || newest && s.judged > 0, failed, weight) // also just released
+		trial := h.build != s.base || newest && s.judged > 0 // also just released
+		s.observe(t.Profile, errs, trial, failed, weight)
 		if warm {
 			s.observe(t.Profile, late, h.build != s.base, slow, weight)
 		}
@@ -934,10 +898,11 @@
 	return s.load() / s.calmLoad
 }
 
-// watched says whether the newest build is on trial or freshly released; hundreds of sentries see what is slow
-// everywhere long before each has met the trial itself.
+// watched says whether the newest build is on trial or freshly released; hundreds of sentries see what is
+// slow everywhere long before each has met the trial itself.
 func (s *Sentry) watched() bool {
-	return (s.judged > 0 || s.together() && s.news.Phase == OnTrial) && (s.news.Phase == OnTrial || s.now-s.toldAt <= 2*noAlarmTime)
+	on := s.news.Phase == OnTrial
+	return (s.judged > 0 || on && s.together()) && (on || s.now-s.toldAt <= 2*noAlarmTime)
 }
 
 // quickPace is the pace that a quarter of the ready workers keeps or beats.
@@ -974,11 +939,11 @@
 
 // Complained takes a client's word that an answer was wrong: it counts as an error of that build. Where each
 // sentry must judge by itself and no count shows wrong answers, one is enough to vote back for the next few
-// answers, for many sentries must do so at a time: false reports are too few for that. A report on the earlier
-// build takes one away. It can harm a good build where a few votes send it back.
+// answers, for many sentries must do so at a time: false reports are too few for that. A report on the
+// earlier build takes one away. It can harm a good build where a few votes send it back.
 func (s *Sentry) Complained(now Micros, c Complaint) Result {
 	return s.call(now, func() {
-		if w, known := s.index[c.Worker]; known && c.Profile >= 0 && int(c.Profile) < len(s.profiles)-1 {
+		if w, known := s.index[c.Worker]; known && c.Profile >= 0 && int(c.Profile) < len(s.profiles) {
 			newest := s.news.Valid && s.workers[w].Build == s.news.Build
 			if s.countsRule() { // they do not see it, and nobody else will tell
 				s.wrong = max(0, s.wrong+wrongWeight*(2*one(newest && s.watched())-1))
@@ -1035,7 +1000,7 @@
 		body := pack(asAdvice, []uint64{uint64(s.news.Build), uint64(s.news.Stage), uint64(v)})
 		s.out.Messages = append(s.out.Messages, Message{To: EverySentry, Body: body})
 	}
-	values := append([]uint64{uint64(s.news.Build), s.life}, s.mine...)
+	values := append([]uint64{uint64(s.news.Build), s.life, uint64(len(s.mine))}, s.mine...)
 	values = s.appendMisses(values, mostNamed)
 	for _, to := range s.collectorsAt() {
 		if to != s.orders.Position {
@@ -1044,9 +1009,9 @@
 	}
 }
 
-// Neighbours. Where sentries are about as many as workers, each learns of a worker's load once in seconds: most
-// go to busy workers while others idle. Some sentries then share some workers, which all prefer, and tell each
-// other of every hand-off to these, in three bytes.
+// Neighbours. Where sentries are about as many as workers, each learns of a worker's load once in seconds:
+// most go to busy workers while others idle. Some sentries then share some workers, which all prefer, and
+// tell each other of every hand-off to these, in three bytes.
 const (
 	groupSize = 8
 	oursLeast = 6 // workers in a group, else there is none
@@ -1066,79 +1031,33 @@
 	return s.together() && int(shortName(id))%s.groups() == int(s.orders.Position)%s.groups()
 }
 
-func (s *Sentry) tellNear(w int) {
-	if !s.shares() || s.rank[w] >= notOurs {
-		return
-	}
-	body, g := pack(asHandOff, []uint64{shortName(s.workers[w].ID)}), s.groups()
-	for i := int(s.orders.Position) % g; i < s.orders.Sentries; i += g {
-		if SentryID(i) != s.orders.Position {
-			s.out.Messages = append(s.out.Messages, Message{To: SentryID(i), Body: body})
-		}
-	}
-}
-
-// nearNow is how much of what the neighbours handed to a worker it still has, taken to do one after the other.
-func (s *Sentry) nearNow(w int) float64 {
-	if s.near[w] == 0 {
-		return 0
-	}
-	usual := 0.0
-	for i := range s.profiles[:len(s.profiles)-1] {
-		usual += s.profiles[i].expected / float64(len(s.profiles)-1)
-	}
-	return max(0, s.near[w]-float64(s.now-s.nearAt[w])/max(1, usual))
-}
-
 // PeerSaid takes a message. What does not hold together is dropped.
 func (s *Sentry) PeerSaid(now Micros, from SentryID, body []byte) Result {
 	return s.call(now, func() {
 		what, values := unpack(body)
 		known := from >= 0 && int(from) < s.orders.Sentries && from != s.orders.Position
-		switch w, named := s.named[slices.Max(append(values, 0))]; {
-		case known && what == asHandOff && len(values) == 1 && named:
-			s.near[w], s.nearAt[w] = s.nearNow(w)+1, s.now
+		switch {
+		case known && what == asHandOff && len(values) == 1:
+			if w, named := s.named[values[0]]; named {
+				s.near[w], s.nearAt[w] = s.nearNow(w)+1, s.now
+			}
 		case !known || len(values) == 0 || !s.news.Valid || BuildID(values[0]) != s.news.Build:
 		case what == asAdvice && len(values) == 3 && values[2] <= uint64(GoBack):
 			if v := Verdict(values[2]); v >= s.advice || s.now-s.advisedAt >= adviceFor {
 				s.advice, s.advisedAt, s.advisedOn = v, s.now, int(values[1]) // the strongest heard lately
 			}
-		case what == asCounts && len(values) >= len(s.mine)+2 && s.collects():
-			s.gather(from, report{values[1], values[2 : len(s.mine)+2], values[len(s.mine)+2:]})
+		case what == asCounts && len(values) >= len(s.mine)+3 && values[2] == uint64(len(s.mine)) && s.collects():
+			s.gather(from, report{values[1], values[3 : len(s.mine)+3], values[len(s.mine)+3:]})
 		}
 	})
 }
 
-// gather judges what a peer has counted since its last report.
-func (s *Sentry) gather(from SentryID, r report) {
-	old, holds := s.reports[from].before(r)
-	if !holds {
-		return
-	}
-	s.reports[from] = r
-	weight, misses := [kinds]float64{1, 1}, s.newMisses(old, r) // their mean counts for all hits
-	for _, m := range misses {
-		weight[m.kind] += (s.weigh(m.worker, m.kind, true) - 1) / m.of
-	}
-	for i := 0; i < len(r.counts); i += 2 {
-		n, hits := float64(r.counts[i]-old.counts[i]), float64(r.counts[i+1]-old.counts[i+1])
-		if id, k, trial, all := placed(i, len(r.counts)); i == len(r.counts)-2 {
-			s.arrived.part(s.now, hits)
-			s.due.part(s.now, n-hits)
-		} else if n > 0 && all && s.together() { // few sentries see it each by itself, and sooner
-			s.sumAll(n, hits)
-		} else if n > 0 && !all {
-			s.judge(id, k, trial, n, hits*(1-one(trial)*(1-weight[k])))
-		}
-	}
-}
-
-// Counted takes what the platform counted of a build. It stands in for messages: where its sample is more than
-// this sentry sees itself, the sums go by it and not by this sentry's own outcomes, so that none counts twice.
-// All sentries then err alike; own outcomes judge again when no counts have come for some periods.
+// Counted takes what the platform counted of a build. It stands in for messages: where its sample is more
+// than this sentry sees itself, the sums go by it and not by this sentry's own outcomes, so that none counts
+// twice. All sentries then err alike; own outcomes judge again when no counts have come for some periods.
 func (s *Sentry) Counted(now Micros, c Counts) Result {
 	return s.call(now, func() {
-		if c.Profile < 0 || int(c.Profile) >= len(s.profiles)-1 || c.HandOffs <= 0 || !s.countsRule() {
+		if c.Profile < 0 || int(c.Profile) >= len(s.profiles) || c.HandOffs <= 0 || !s.countsRule() {
 			return
 		}
 		s.countedAt = s.now
@@ -1147,7 +1066,7 @@
 		if !newest && c.Build != s.base {
 			return
 		}
-		if newest { // of any kind: a worker's death, a refused connection; this sentry's own tell how many are errors
+		if newest { // of any kind, a worker's death too; this sentry's own tell how many are errors
 			failed = max(0, failed*(s.erred+1)/(s.failed+1)-n*(countsSlack+max(p.rate[errs], p.failing)))
 		} else {
 			p.failing = failed / n
@@ -1169,8 +1088,8 @@
 	return s.countsRule() && s.countedAt > 0 && s.now-s.countedAt < countsFor*s.orders.CountsEvery
 }
 
-// tellMeans adds a mean time to those of its period, over all profiles: of the trial, the warmth of its workers
-// then allowed for, and of all.
+// tellMeans adds a mean time to those of its period, over all profiles: of the trial, the warmth of its
+// workers then allowed for, and of all.
 func (s *Sentry) tellMeans(p *profileRow, n, mean float64, newest bool, at Micros) {
 	if n <= 0 || mean <= 0 {
 		return
@@ -1191,9 +1110,9 @@
 	}
 }
 
-// judgeMeans judges what came of a period. A mean that is so many times as long counts as so many late ones: the
-// trial's beside the earlier build's or the time before, whichever is longer, those of both beside the time
-// before, in both cases by more than the load explains.
+// judgeMeans judges what came of a period. A mean that is so many times as long counts as so many late ones:
+// the trial's beside the earlier build's or the time before, whichever is longer, those of both beside the
+// time before, in both cases by more than the load explains.
 func (s *Sentry) judgeMeans() {
 	all, trial := s.means[0], s.means[1]
 	s.means = [2]means{}
--- a/logic/port.go
+++ b/logic/port.go
@@ -110,10 +110,8 @@
 	VotesPerSecond    float64
 	Bake              Micros
 	ComplaintShare    float64
-	ToldEvery         Micros  // news comes at least so often, 0 if not told
 	CountsEvery       Micros  // the platform's counts come so often, 0 if never
 	CountsShare       float64 // of all hand-offs that they count
-	WarmKeys          bool    // a worker is quicker for keys that it met lately
 
 	// Prices, as shares of the whole value.
 	BehindPrice, HarmPrice, CrossPrice, WastePrice float64
--- a/logic/state.go
+++ b/logic/state.go
@@ -25,6 +25,7 @@
 
 type transaction struct {
 	Transaction
+	as           Profile // as the orders had it when this came
 	arrived      Micros
 	slot         int // 0 to 99, by the two-build hash
 	worker       int // chosen, or -1
@@ -68,10 +69,13 @@
 	open      map[TransactionID]*transaction
 	alarms    []alarm // the earliest first
 	waiting   []*transaction
-	profiles  []profileRow
-	longest   Micros // due time
-	outermost Micros // limit of any transaction
-	span      Micros // how long arrivals are kept
+	profiles  []profileRow // by place
+	all       profileRow   // of all profiles together: its sums
+	bounds    []exposure   // of orders before these
+	keep      Micros       // the longest window of a rule so far
+	longest   Micros       // due time
+	outermost Micros       // limit of any transaction
+	span      Micros       // how long arrivals are kept
 	arrivals  []Micros
 	handed    []Micros // hand-offs, as long
 	spare     float64  // further hand-offs that the budget still bears
@@ -123,7 +127,7 @@
 	sentBack             map[BuildID]bool
 	reach, judged        int // slots under reach go to the trial, outcomes judged
 	met                  map[Key]BuildID
-	taken                [][]Micros     // transactions, by profile where exposure counts so, else all in the first
+	taken                [][]Micros     // transactions: all in the first, then by profile
 	exposed              [][]Micros     // hand-offs to the trial, likewise
 	means                [2]means       // of the period in hand: of all, of the trial
 	countsCalm           float64        // counted in a second before the trial
@@ -233,6 +237,14 @@
 // of their profiles took before the trial, and of what they take at the earlier build now.
 type means struct{ n, took, calm, base float64 }
 
+// exposure is a bound on hand-offs to the trial, and until when it holds.
+type exposure struct {
+	free      float64
+	window    Micros
+	byProfile bool
+	until     Micros
+}
+
 // meter follows how many outcomes come in a second.
 type meter struct {
 	rate float64
@@ -342,10 +354,10 @@
 
 func (s *Sentry) sums() []float64 {
 	sums := []float64{s.allSum}
-	for _, p := range s.profiles {
-		sums = append(sums, p.sum[:]...)
+	for i := range s.profiles {
+		sums = append(sums, s.profiles[i].sum[:]...)
 	}
-	return sums
+	return append(sums, s.all.sum[:]...)
 }
 
 // note says in the log what the judge's sums were.
@@ -378,7 +390,7 @@
 
 // rows are the profile's own row and the one for all profiles.
 func (s *Sentry) rows(p ProfileID) (own, all *profileRow) {
-	return &s.profiles[p], &s.profiles[len(s.profiles)-1]
+	return &s.profiles[p], &s.all
 }
 
 type kind int
@@ -406,8 +418,18 @@
 	return wake
 }
 
-func (s *Sentry) counter(t *transaction) int {
-	return int(t.Profile) * int(one(s.orders.ExposureByProfile))
+// counters are where a transaction counts for exposure: over all, and by its profile.
+func (t *transaction) counters() [2]int { return [2]int{0, 1 + int(t.Profile)} }
+
+// places is how many figures this sentry counts for the collectors.
+func (s *Sentry) places() int { return place(ProfileID(len(s.profiles)), errs, false) + 4 }
+
+// usualTime is what answers of the earlier build usually take, over all profiles.
+func (s *Sentry) usualTime() (usual float64) {
+	for i := range s.profiles {
+		usual += s.profiles[i].expected / float64(len(s.profiles))
+	}
+	return usual
 }
 
 // load is what this sentry takes for what the fleet can do.
@@ -445,6 +467,7 @@
 	for i := range s.profiles {
 		s.profiles[i].sum, s.profiles[i].calm = [kinds]float64{}, 0
 	}
+	s.all = profileRow{}
 	for i := range s.exposed {
 		s.exposed[i] = nil
 	}
@@ -453,7 +476,7 @@
 		clear(s.misses[k])
 		clear(s.ownMisses[k])
 	}
-	s.mine = make([]uint64, place(ProfileID(len(s.profiles)-1), errs, false)+4)
+	s.mine = make([]uint64, s.places())
 	s.reports, s.advice, s.advisedAt = map[SentryID]report{}, NoVerdict, 0
 }
 
@@ -485,3 +508,126 @@
 	s.mine[at]++
 	s.mine[at+1] += uint64(one(hit))
 }
+
+func (s *Sentry) run(t *transaction, from int) {
+	for _, st := range chain[from:] {
+		if !st.ahead(s, t) {
+			return
+		}
+	}
+}
+
+// Arrive takes a transaction.
+func (s *Sentry) Arrive(now Micros, in Transaction) Result {
+	return s.call(now, func() {
+		s.run(&transaction{Transaction: in, arrived: s.now}, 0)
+	})
+}
+
+// HandOffEnded takes the end of one hand-off back through the chain.
+func (s *Sentry) HandOffEnded(now Micros, e HandOffEnd) Result {
+	return s.call(now, func() {
+		t := s.open[e.Transaction]
+		if t != nil && e.HandOff >= 0 && e.HandOff < len(t.sends) && !t.sends[e.HandOff].over {
+			h := &t.sends[e.HandOff]
+			h.end, h.untimed = e, h.untimed || h.sent < s.stalled
+			t.closed = t.closed || e.Closed
+			for i := len(chain) - 1; i >= 0; i-- {
+				chain[i].back(s, t, h)
+			}
+			s.release()
+		}
+	})
+}
+
+// ClientLeft ends what is owed for a transaction: the client has gone, or its answer has begun to stream.
+func (s *Sentry) ClientLeft(now Micros, id TransactionID) Result {
+	return s.call(now, func() {
+		if t := s.open[id]; t != nil {
+			s.again[t.Key] += int(one(!t.closed))
+			t.closed = true
+			s.forget(t)
+		}
+	})
+}
+
+// gather judges what a peer has counted since its last report.
+func (s *Sentry) gather(from SentryID, r report) {
+	old, holds := s.reports[from].before(r)
+	if !holds {
+		return
+	}
+	s.reports[from] = r
+	weight, misses := [kinds]float64{1, 1}, s.newMisses(old, r) // their mean counts for all hits
+	for _, m := range misses {
+		weight[m.kind] += (s.weigh(m.worker, m.kind, true) - 1) / m.of
+	}
+	for i := 0; i < len(r.counts); i += 2 {
+		n, hits := float64(r.counts[i]-old.counts[i]), float64(r.counts[i+1]-old.counts[i+1])
+		if id, k, trial, all := placed(i, len(r.counts)); i == len(r.counts)-2 {
+			s.arrived.part(s.now, hits)
+			s.due.part(s.now, n-hits)
+		} else if n > 0 && all && s.together() { // few sentries see it each by itself, and sooner
+			s.sumAll(n, hits)
+		} else if n > 0 && !all {
+			s.judge(id, k, trial, n, hits*(1-one(trial)*(1-weight[k])))
+		}
+	}
+}
+
+// warmthOf is the same for all ready workers of a build that ran at some time.
+func (s *Sentry) warmthOf(b BuildID, at Micros) float64 {
+	can, size, now := 0.0, 0.0, s.now
+	s.now = at
+	for _, w := range s.order {
+		if in := &s.workers[w]; in.Build == b && in.State == Ready && s.start(w) < at {
+			can, size = can+in.Size*s.warmth(w), size+in.Size
+		}
+	}
+	s.now = now
+	return can / max(size, 1e-9)
+}
+
+// warmed is how much of its warming up a worker has behind it, 0 to 1.
+func (s *Sentry) warmed(w int) float64 {
+	start := s.start(w)
+	if start <= 0 || s.orders.WarmUp <= 0 {
+		return 1
+	}
+	return min(1, max(0, float64(s.now-start)/float64(s.orders.WarmUp)))
+}
+
+// warmth is the least part of its work that a worker can do by now.
+func (s *Sentry) warmth(w int) float64 {
+	start := s.start(w)
+	if start <= 0 || s.orders.WarmUp <= 0 {
+		return 1
+	}
+	return s.orders.ColdFrom + (1-s.orders.ColdFrom)*s.warmed(w)
+}
+
+// nearNow is how much of what the neighbours handed to a worker it still has, taken to do one after the other.
+func (s *Sentry) nearNow(w int) float64 {
+	if s.near[w] == 0 {
+		return 0
+	}
+	return max(0, s.near[w]-float64(s.now-s.nearAt[w])/max(1, s.usualTime()))
+}
+
+func (s *Sentry) tellNear(w int) {
+	if !s.shares() || s.rank[w] >= notOurs {
+		return
+	}
+	body, g := pack(asHandOff, []uint64{shortName(s.workers[w].ID)}), s.groups()
+	for i := int(s.orders.Position) % g; i < s.orders.Sentries; i += g {
+		if SentryID(i) != s.orders.Position {
+			s.out.Messages = append(s.out.Messages, Message{To: SentryID(i), Body: body})
+		}
+	}
+}
+
+// A stage passes a transaction on or keeps or ends it, and sees each ended hand-off on its way back.
+type stage struct {
+	ahead func(*Sentry, *transaction) bool
+	back  func(*Sentry, *transaction, *handOff)
+}
--- a/standin/desk.go
+++ b/standin/desk.go
@@ -74,6 +74,7 @@
 		tick := time.NewTicker(50 * time.Millisecond)
 		defer tick.Stop()
 		next := d.stage.Now()
+		period := next + d.stage.Orders.CountsEvery
 		for {
 			select {
 			case <-d.done:
@@ -86,6 +87,10 @@
 				next = now + logic.Micros(d.Every/time.Microsecond)
 				d.tellAll()
 			}
+			if every := d.stage.Orders.CountsEvery; every > 0 && d.stage.Now() >= period {
+				period += every
+				d.tellCounts()
+			}
 			d.mu.Unlock()
 		}
 	}()
@@ -205,6 +210,29 @@
 	})
 }
 
+// tellCounts sends all sentries what was counted in the period that has ended, late.
+func (d *Desk) tellCounts() {
+	m, ended := &pb.Counts{}, d.stage.Now()
+	for by, c := range d.stage.takeCounts() {
+		row := &pb.Counts_Row{Build: uint32(by.build), Profile: uint32(by.profile), HandOffs: uint32(c.n), Failed: uint32(c.failed)}
+		if c.n > c.failed {
+			row.Mean = uint64(c.took) / uint64(c.n-c.failed)
+		}
+		m.Rows = append(m.Rows, row)
+	}
+	slices.SortFunc(m.Rows, func(a, b *pb.Counts_Row) int {
+		return cmp.Or(cmp.Compare(a.Build, b.Build), cmp.Compare(a.Profile, b.Profile))
+	})
+	time.AfterFunc(d.Late, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		m.Age = uint64(d.stage.Now() - ended)
+		for l := range d.links {
+			l.Send(wire.KindCounts, m)
+		}
+	})
+}
+
 func (d *Desk) tell(l *wire.Link, n logic.News, since logic.Micros, vote uint64, fate pb.News_Fate) {
 	if n.Valid {
 		d.stage.See(audit.Event{Kind: audit.NewsTold, Sentry: d.links[l], News: n})
--- a/standin/stage.go
+++ b/standin/stage.go
@@ -24,9 +24,22 @@
 	marks  map[string]logic.Micros // labelled transactions that have run, by group and mark
 	recent []logic.BuildID         // of the last hand-offs of all workers, for builds that slow all
 	at     int
+	counts map[countedBy]counted // of the period in hand
 	closed bool
 }
 
+// countedBy is what the desk counts by, counted what it has.
+type (
+	countedBy struct {
+		build   logic.BuildID
+		profile logic.ProfileID
+	}
+	counted struct {
+		n, failed int
+		took      logic.Micros
+	}
+)
+
 // Make is how a build behaves.
 type Make struct {
 	Speed     float64         // to that of the first build
@@ -40,7 +53,8 @@
 // NewStage begins a drill's clock.
 func NewStage(o *logic.StandingOrders, zones []string, seed int64) *Stage {
 	return &Stage{Orders: o, Zones: zones, base: time.Now(), chance: rand.New(rand.NewSource(seed)),
-		builds: map[logic.BuildID]Make{}, marks: map[string]logic.Micros{}, recent: make([]logic.BuildID, 100)}
+		builds: map[logic.BuildID]Make{}, marks: map[string]logic.Micros{}, recent: make([]logic.BuildID, 100),
+		counts: map[countedBy]counted{}}
 }
 
 // Now is the drill's clock.
@@ -73,6 +87,32 @@
 	s.mu.Unlock()
 }
 
+// count books the end of a hand-off for the desk's counts, in the sample that the orders name.
+func (s *Stage) count(b logic.BuildID, p logic.ProfileID, failed bool, took logic.Micros) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Orders.CountsEvery == 0 || s.chance.Float64() >= s.Orders.CountsShare {
+		return
+	}
+	c := s.counts[countedBy{b, p}]
+	c.n++
+	if failed {
+		c.failed++
+	} else {
+		c.took += took
+	}
+	s.counts[countedBy{b, p}] = c
+}
+
+// takeCounts ends a period.
+func (s *Stage) takeCounts() map[countedBy]counted {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was := s.counts
+	s.counts = map[countedBy]counted{}
+	return was
+}
+
 func (s *Stage) draw() float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -42,6 +42,8 @@
 	running map[*job]struct{}
 	got     uint64
 	recent  []arrival
+	ended   []logic.Micros // answers of the last second
+	NoHeld  bool           // tells what it serves and how busy it is, not how many it has
 }
 
 type arrival struct {
@@ -60,6 +62,7 @@
 	mark   string
 	work   float64
 	p      logic.ProfileID
+	came   logic.Micros
 	until  logic.Micros
 	over   bool
 }
@@ -226,7 +229,8 @@
 // work takes a hand-off. The payload names the client's try, the work, and how long it takes on a core of speed one.
 func (w *Worker) work(l *wire.Link, life uint64, from logic.SentryID, m *wire.Work) error {
 	j := &job{w: w, life: life, link: l, from: from, id: m.ID, p: logic.ProfileID(m.Profile), mark: string(m.Mark),
-		until: w.stage.Now() + logic.Micros(m.Left)}
+		came: w.stage.Now()}
+	j.until = j.came + logic.Micros(m.Left)
 	if _, err := fmt.Sscan(string(m.Payload), &j.try, &j.work); err != nil || int(m.Profile) >= len(w.stage.Orders.Profiles) {
 		return fmt.Errorf("worker: payload %q: expected a try and its work", m.Payload)
 	}
@@ -342,7 +346,18 @@
 	}
 	e.Good, e.Build = how == pb.Ended_ANSWERED, w.Line.Build
 	w.stage.See(e)
-	j.link.Put(wire.KindDone, &wire.Done{ID: j.id, Ended: uint32(how), Held: uint32(w.busy+len(w.queue)) + 1})
+	now := w.stage.Now()
+	w.stage.count(w.Line.Build, j.p, how != pb.Ended_ANSWERED, now-j.came)
+	w.ended = append(w.ended, now)
+	for w.ended[0] <= now-1_000_000 {
+		w.ended = w.ended[1:]
+	}
+	done := &wire.Done{ID: j.id, Ended: uint32(how), Held: uint32(w.busy+len(w.queue)) + 1,
+		Busy: uint32(1000*w.busy/w.Cores) + 1, Served: uint32(1000*len(w.ended)) + 1}
+	if w.NoHeld {
+		done.Held = 0
+	}
+	j.link.Put(wire.KindDone, done)
 	j.link.Flush()
 }
 
