--- a/cmd/scalechute/drill_test.go
+++ b/cmd/scalechute/drill_test.go
@@ -252,7 +252,10 @@
 	hangups <- syscall.SIGHUP
 	want("one")
 	quiet("a hangup")
-	write(other, "another")
+	write(other+".new", "another") // in one step: the watch looks every millisecond, and would see a file half written
+	if err := os.Rename(other+".new", other); err != nil {
+		t.Fatal(err)
+	}
 	want("one")
 	write(file+".new", "two")
 	if err := os.Rename(file+".new", file); err != nil {
--- a/internal/sentry/book.go
+++ b/internal/sentry/book.go
@@ -189,9 +189,10 @@
 	}
 	s.book.unsaved, s.book.writing = false, true
 	s.writing.Add(1)
+	file := s.sheet.Post.Memory // new orders may take the sheet's place meanwhile
 	go func() {
 		defer s.writing.Done()
-		s.inbox.put(&event{kind: evSaved, err: replaceFile(s.sheet.Post.Memory, data)}, false)
+		s.inbox.put(&event{kind: evSaved, err: replaceFile(file, data)}, false)
 	}()
 }
 
--- a/standin/stage.go
+++ b/standin/stage.go
@@ -72,6 +72,15 @@
 	s.mu.Unlock()
 }
 
+// SeeAt records an event that carries its time.
+func (s *Stage) SeeAt(e audit.Event) {
+	s.mu.Lock()
+	if !s.closed {
+		s.events = append(s.events, e)
+	}
+	s.mu.Unlock()
+}
+
 // Events ends the record and gives it.
 func (s *Stage) Events() []audit.Event {
 	s.mu.Lock()
