--- a/logic/logic.go
+++ b/logic/logic.go
@@ -498,7 +498,7 @@
 			s.exposed[c] = trim(append(s.exposed[c], s.now), s.now-s.keep-4*s.orders.Tick)
 		}
 	}
-	s.tellNear(w)
+	s.tellNear(w, asHandOff)
 	r := Ruling{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Until: t.Limit}
 	s.out.Rulings = append(s.out.Rulings, r)
 	if s.orders.MayCopy && len(t.sends) == 1 {
@@ -531,6 +531,7 @@
 	h.mayRun = h.end.Ending != TurnedAway && h.end.Ending != Unconnected && h.end.Ending != Unsent
 	s.inHand[h.worker] = max(0, s.inHand[h.worker]-1)
 	s.busy--
+	s.tellNear(h.worker, asEnded)
 	s.learnRoom(&s.profiles[t.Profile], h.worker, h.end)
 }
 
@@ -1037,9 +1038,10 @@
 		what, values := unpack(body)
 		known := from >= 0 && int(from) < s.orders.Sentries && from != s.orders.Position
 		switch {
-		case known && what == asHandOff && len(values) == 1:
+		case known && (what == asHandOff || what == asEnded) && len(values) == 1:
 			if w, named := s.named[values[0]]; named {
-				s.near[w], s.nearAt[w] = s.nearNow(w)+1, s.now
+				more := 1 - 2*one(what == asEnded)
+				s.near[w], s.nearAt[w] = max(0, s.nearNow(w)+more), s.now
 			}
 		case !known || len(values) == 0 || !s.news.Valid || BuildID(values[0]) != s.news.Build:
 		case what == asAdvice && len(values) == 3 && values[2] <= uint64(GoBack):
--- a/logic/state.go
+++ b/logic/state.go
@@ -286,7 +286,7 @@
 }
 
 // First byte of a message.
-const asCounts, asAdvice, asHandOff = 1, 2, 3
+const asCounts, asAdvice, asHandOff, asEnded = 1, 2, 3, 4
 
 // pack makes a message of one kind of whole numbers; unpack gives none where it is not such a message.
 func pack(what byte, values []uint64) []byte {
@@ -611,14 +611,14 @@
 	if s.near[w] == 0 {
 		return 0
 	}
-	return max(0, s.near[w]-float64(s.now-s.nearAt[w])/max(1, s.usualTime()))
+	return max(0, s.near[w]-float64(s.now-s.nearAt[w])/max(1, 6*s.usualTime()))
 }
 
-func (s *Sentry) tellNear(w int) {
+func (s *Sentry) tellNear(w int, what byte) {
 	if !s.shares() || s.rank[w] >= notOurs {
 		return
 	}
-	body, g := pack(asHandOff, []uint64{shortName(s.workers[w].ID)}), s.groups()
+	body, g := pack(what, []uint64{shortName(s.workers[w].ID)}), s.groups()
 	for i := int(s.orders.Position) % g; i < s.orders.Sentries; i += g {
 		if SentryID(i) != s.orders.Position {
 			s.out.Messages = append(s.out.Messages, Message{To: SentryID(i), Body: body})
