--- a/logic/logic.go
+++ b/logic/logic.go
@@ -185,7 +185,12 @@
 // hasRoom says whether one more may be open: a repeat wants half of the room free, for others have not had a
 // try yet, and clients that repeat at once and for long would leave nothing to them.
 func (s *Sentry) hasRoom(t *transaction) bool {
-	return float64(s.busy) < s.room*(1-repeatsLess*one(t.Again))
+	if float64(s.busy) < s.room*(1-repeatsLess*one(t.Again)) {
+		return true
+	}
+	return s.shares() && slices.ContainsFunc(s.rosters[s.base].ready[:s.rosters[s.base].ours], func(w int) bool {
+		return float64(s.inHand[w])+s.nearNow(w) < roomNear-one(t.Again)
+	})
 }
 
 const (
@@ -194,6 +199,7 @@
 
 	roomLeast        = 2.0 // open hand-offs to ready workers at the start; the least, to this sentry's share
 	roomMost         = 8.0
+	roomNear         = 1.0      // hand-offs at a worker of the group under which it takes more
 	repeatsLess      = 0.5      // of the room that repeats leave free
 	roomFew          = 9.0      // that any sentry may have open
 	roomUp, roomDown = 0.1, 1.0 // for each answer in time while the room is used, and for each failure
--- a/logic/state.go
+++ b/logic/state.go
@@ -611,7 +611,7 @@
 	if s.near[w] == 0 {
 		return 0
 	}
-	return max(0, s.near[w]-float64(s.now-s.nearAt[w])/max(1, 6*s.usualTime()))
+	return max(0, s.near[w]-float64(s.now-s.nearAt[w])/max(1, 20*s.usualTime()))
 }
 
 func (s *Sentry) tellNear(w int, what byte) {
