--- a/logic/logic.go
+++ b/logic/logic.go
@@ -185,11 +185,12 @@
 // hasRoom says whether one more may be open: a repeat wants half of the room free, for others have not had a
 // try yet, and clients that repeat at once and for long would leave nothing to them.
 func (s *Sentry) hasRoom(t *transaction) bool {
-	if float64(s.busy) < s.room*(1-repeatsLess*one(t.Again)) {
+	second := t.Again || t.Limit-t.arrived < t.as.DueTime
+	if float64(s.busy) < s.room*(1-repeatsLess*one(second)) {
 		return true
 	}
 	return s.shares() && slices.ContainsFunc(s.rosters[s.base].ready[:s.rosters[s.base].ours], func(w int) bool {
-		return float64(s.inHand[w])+s.nearNow(w) < roomNear-one(t.Again)
+		return !second && !s.occupied(w) && s.nearNow(w) < roomNear
 	})
 }
 
@@ -325,7 +326,7 @@
 		return -1
 	}
 	best := s.least(r.ready[:min(max(r.use, r.ours), len(r.ready))], t, b)
-	if r.ours >= oursLeast && best >= 0 && s.score(best) < 3/s.workers[best].Size {
+	if r.ours >= oursLeast && best >= 0 && s.score(best) < oursMost/s.workers[best].Size {
 		return best
 	}
 	if r.use >= len(r.ready) || best >= 0 && (!s.occupied(best) || s.connected(best) && s.shut > shunAbove) {
@@ -1021,7 +1022,8 @@
 // tell each other of every hand-off to these, in three bytes.
 const (
 	groupSize = 8
-	oursLeast = 6 // workers in a group, else there is none
+	oursLeast = 6   // workers in a group, else there is none
+	oursMost  = 3.0 // load from which others are tried, who do not hear of it
 	notOurs   = 1e6
 )
 
