--- a/logic/logic.go
+++ b/logic/logic.go
@@ -165,6 +165,11 @@
 				s.spare--
 				s.run(t, 1)
 			}
+			for _, h := range t.sends { // its worker may take work and answer none: a time-out tells so late
+				if !h.over && s.now >= h.sent+t.as.DueTime {
+					s.shun(h.worker)
+				}
+			}
 		}
 	})
 }
@@ -212,8 +217,8 @@
 func (s *Sentry) learnRoom(p *profileRow, w int, e HandOffEnd) {
 	ready := float64(max(1, s.readyCount(s.base)))
 	switch {
-	case s.shunned[w] > s.now || e.Ending == TimedOut && e.Took < p.DueTime || s.farther(s.workers[w].Zone) > 1:
-		// says nothing of the load: a worker out of use, a client in a hurry, a slow way
+	case s.strikes[w] > 0 || s.faults[w] > shunAbove || s.farther(s.workers[w].Zone) > 1: // says nothing of the load
+	case e.Ending == TimedOut && e.Took < p.DueTime: // a client in a hurry
 	case e.Ending == TurnedAway || e.Ending == TimedOut || e.Ending == Answered && e.Took > p.DueTime:
 		s.room -= min(roomDown, s.room/4)
 	case e.Ending == Answered && float64(s.busy) >= 0.7*s.room:
@@ -511,6 +516,7 @@
 	if s.orders.MayCopy && len(t.sends) == 1 {
 		s.alarm(s.now+t.as.DueTime/2, t)
 	}
+	s.alarm(s.now+t.as.DueTime, t)
 	return false
 }
 
@@ -640,31 +646,19 @@
 		s.strikes[w], s.shunned[w], s.answered[w] = 0, 0, s.now
 	default:
 		if s.faults[w] > shunAbove {
-			s.shunned[w] = s.now + max(second, Micros(s.memory()/4))
+			s.shun(w)
 		}
 	}
 }
 
-// Listed takes a report on the workers.
-func (s *Sentry) Listed(now Micros, kind ListKind, list []Worker) Result {
-	return s.call(now, func() {
-		if kind != ListRemembered {
-			s.askWait, s.askAt = 0, s.now+s.orders.AskWithin/2
-		}
-		if kind != ListChanges {
-			s.dropAll()
-		}
-		for _, in := range list {
-			in.Size = max(in.Size, 1e-3)
-			w, known := s.index[in.ID]
-			if !known {
-				rank := s.chance.ExpFloat64() / in.Size * (1 + farther*one(in.Zone != s.orders.Zone))
-				w = s.addWorker(in, rank+notOurs*one(!s.ours(in.ID)))
-			}
-			s.renew(w, in)
-		}
-		s.lookAround()
-	})
+func (s *Sentry) shun(w int) {
+	s.shunned[w] = max(s.shunned[w], s.now+max(second, Micros(s.memory()/4)))
+}
+
+// rankOf draws a worker's place in this sentry's order: its group's first, then by size, the own zone's sooner.
+func (s *Sentry) rankOf(in Worker) float64 {
+	by := s.chance.ExpFloat64() / in.Size * (1 + farther*one(in.Zone != s.orders.Zone))
+	return by + notOurs*one(!s.ours(in.ID))
 }
 
 // AskFailed notes that the list could not be had.
--- a/logic/state.go
+++ b/logic/state.go
@@ -631,3 +631,24 @@
 	ahead func(*Sentry, *transaction) bool
 	back  func(*Sentry, *transaction, *handOff)
 }
+
+// Listed takes a report on the workers.
+func (s *Sentry) Listed(now Micros, kind ListKind, list []Worker) Result {
+	return s.call(now, func() {
+		if kind != ListRemembered {
+			s.askWait, s.askAt = 0, s.now+s.orders.AskWithin/2
+		}
+		if kind != ListChanges {
+			s.dropAll()
+		}
+		for _, in := range list {
+			in.Size = max(in.Size, 1e-3)
+			w, known := s.index[in.ID]
+			if !known {
+				w = s.addWorker(in, s.rankOf(in))
+			}
+			s.renew(w, in)
+		}
+		s.lookAround()
+	})
+}
