--- a/logic/logic.go
+++ b/logic/logic.go
@@ -217,7 +217,7 @@
 func (s *Sentry) learnRoom(p *profileRow, w int, e HandOffEnd) {
 	ready := float64(max(1, s.readyCount(s.base)))
 	switch {
-	case s.strikes[w] > 0 || s.faults[w] > shunAbove || s.farther(s.workers[w].Zone) > 1: // says nothing of the load
+	case s.strikes[w] > 0 || s.faults[w] > shunAbove || s.farther(s.workers[w].Zone) > 1: // not the load
 	case e.Ending == TimedOut && e.Took < p.DueTime: // a client in a hurry
 	case e.Ending == TurnedAway || e.Ending == TimedOut || e.Ending == Answered && e.Took > p.DueTime:
 		s.room -= min(roomDown, s.room/4)
@@ -655,7 +655,7 @@
 	s.shunned[w] = max(s.shunned[w], s.now+max(second, Micros(s.memory()/4)))
 }
 
-// rankOf draws a worker's place in this sentry's order: its group's first, then by size, the own zone's sooner.
+// rankOf draws a worker's place in this sentry's order: its group's first, by size, the own zone's sooner.
 func (s *Sentry) rankOf(in Worker) float64 {
 	by := s.chance.ExpFloat64() / in.Size * (1 + farther*one(in.Zone != s.orders.Zone))
 	return by + notOurs*one(!s.ours(in.ID))
@@ -1127,8 +1127,8 @@
 	}
 	load := max(1, perSecond/max(s.countsCalm, 1e-9)) * max(1, s.calmCan/max(s.fleetCan, 1e-9))
 	if all.n > 0 {
-		slow := min(1, max(0, all.took/all.calm/s.byLoad(load)-1)) * all.n
-		s.allSum = max(0, s.allSum+(slow-all.n*meansSlack)*s.allMeter.part(s.now, all.n))
+		slow := min(1, max(0, all.took/all.calm/s.byLoad(load)-1))
+		s.allSum = max(0, s.allSum+lateWeight*all.n*(slow-meansSlack)*s.allMeter.part(s.now, all.n))
 	}
 	if trial.n > 0 {
 		load *= max(1, s.calmCan*float64(s.reach)/max(100*s.capacity(s.news.Build), 1e-9))
