--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"strings"
 	"testing"
+
+	"scalechute/logic"
 )
 
 const start = `["mark",5000000123]
@@ -27,6 +30,9 @@
 		{"an unknown event and a late left", start + `["new_word",3,"x"]` + "\n" + `["left",3,"t/9"]` + "\n" + turn,
 			`["finished"]`, ""},
 		{"a restart within the batch", start + `["exit",3]` + "\n" + start + query + turn, `["route",3,"t/1"`, ""},
+		{"counts, then what none is", start + `["counts_by_build",3,180,"read",4,41,1250000000,21500000]` + "\n" + query + turn,
+			`["route",3,"t/1","10.0.0.1:1",6000000123]`, ""},
+		{"counts of an unknown class", start + `["counts_by_build",3,180,"write",4,41,1250000000,21500000]` + "\n", "", `unknown class "write"`},
 		{"no instance", query + turn, "", "no instance 3"},
 		{"an unknown class", start + `["query",3,"t/1","write",null,null,1,null,null]` + "\n", "", `unknown class "write"`},
 		{"no JSON", "nonsense\n", "", "line 1"},
@@ -48,6 +54,39 @@
 	}
 }
 
+// A load report is read by the places that the settings give its figures; what is not told is below 0.
+func TestLoadReports(t *testing.T) {
+	zones := map[string]logic.ZoneID{}
+	for _, c := range []struct {
+		report, row string
+		want        logic.Load
+	}{
+		{`{"how":"inline","fields":["busy_reqs"]}`, `[7]`, logic.Load{Held: 7, Busy: -1, Served: -1}},
+		{`{"how":"inline","fields":["served_ps","cpu_share"]}`, `[12.5,0.4]`, logic.Load{Held: -1, Busy: 0.4, Served: 12.5}},
+		{`{"how":"inline","fields":["served_ps","svc_ms","cpu_share"]}`, `[null,3]`, logic.NoLoad},
+		{`{"how":"off","fields":["busy_reqs"]}`, `[7]`, logic.NoLoad},
+		{`{"how":"inline","fields":["busy_reqs"]}`, `null`, logic.NoLoad},
+	} {
+		_, n, err := orders([]byte(`{"zone":"a","report":`+c.report+`}`), zones)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := &fields{kind: "ended", values: []json.RawMessage{json.RawMessage(c.row)}}
+		if got := (&instance{names: n}).load(f, 0); got != c.want || f.err != nil {
+			t.Errorf("%s %s: %+v, expected %+v (%v)", c.report, c.row, got, c.want, f.err)
+		}
+	}
+}
+
+// What decides whether the platform's counts rule is passed on.
+func TestCountsInOrders(t *testing.T) {
+	o, _, err := orders([]byte(`{"zone":"a","family_info":{"metrics_period_ns":2000000000,"sampled_share":0.2,"cap_scope":"class"}}`),
+		map[string]logic.ZoneID{})
+	if err != nil || o.CountsEvery != 2_000_000 || o.CountsShare != 0.2 || !o.ExposureByProfile {
+		t.Errorf("%+v, %v", o, err)
+	}
+}
+
 // A panic of the module is told with the instance's number, and is not swallowed: a sentry that is not there panics.
 func TestPanicIsTold(t *testing.T) {
 	var out bytes.Buffer
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -230,7 +230,7 @@
 }
 
 func (s *Sheet) profiles(root *hclread.Body) {
-	for _, b := range root.Blocks("profile", 1) {
+	for i, b := range root.Blocks("profile", 1) {
 		p := logic.Profile{
 			DueTime:    b.Span("due_time", true, ms, ms, hour),
 			OuterLimit: b.Span("outer_limit", true, hour, ms, 24*hour),
@@ -252,7 +252,7 @@
 				b.Fault("profile %s stands twice, expected once", other)
 			}
 		}
-		place := b.Whole("place", false, len(s.ProfileNames), 0, 255)
+		place := b.Whole("place", false, min(i, 255), 0, 255)
 		b.Done()
 		for len(s.ProfileNames) <= place { // a place that none has takes nothing
 			s.ProfileNames = append(s.ProfileNames, "")
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -59,6 +59,11 @@
 		{`position = 0`, `position = 2`, `position: found 2, expected a whole number from 0 to 1`},
 		{`peer "1"`, `peer "0"`, `peer "0", expected the position of another sentry`},
 		{`list     = "127.0.0.1:7420"`, `list = "127.0.0.1"`, `list: found "127.0.0.1", expected host:port`},
+		{`bake         = "3s"`, "bake = \"3s\"\n counts_every = \"1s\"", `block trial has no counts_share`},
+		{`bake         = "3s"`, "bake = \"3s\"\n counts_share = 0.2", `counts_share: found 0.2 without counts_every`},
+		{`bake         = "3s"`, "bake = \"3s\"\n counts_every = \"1s\"\n counts_share = 2", `counts_share: found 2, expected a number from 0 to 1`},
+		{`repeat      = "redoable"`, "repeat = \"redoable\"\n place = 1", `place: found 1, expected one that reading does not have`},
+		{`repeat      = "redoable"`, "repeat = \"redoable\"\n place = 300", `place: found 300, expected a whole number from 0 to 255`},
 		{`rules {`, `rule {`, `block rule: unknown in the file`},
 		{`trial {`, "trial {}\ntrial {", `block trial stands twice`},
 		{`control      = "any"`, `control = any`, `control: found no plain value`},
@@ -87,6 +92,30 @@
 	}
 }
 
+// Places may be left empty; without one a profile has that of its position. What counts are stands with the trial.
+func TestPlacesAndCounts(t *testing.T) {
+	text := strings.NewReplacer(`repeat      = "irreversible"`, "repeat = \"irreversible\"\n place = 5", `bake         = "3s"`,
+		"bake = \"3s\"\n counts_every = \"2s\"\n counts_share = 0.2").Replace(example(t))
+	s, err := Parse("sentry.hcl", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(s.ProfileNames, ","); got != "reading,excursion,,,,handover" || s.Takes(3) || !s.Takes(5) || s.Takes(6) ||
+		s.Standing.Profiles[5].Repeat != logic.Irreversible || s.Standing.CountsEvery != 2_000_000 || s.Standing.CountsShare != 0.2 {
+		t.Errorf("places %q, orders %+v", got, s.Standing)
+	}
+	old, _ := Parse("sentry.hcl", []byte(example(t)))
+	if o := &old.Standing; o.CountsEvery != 0 || o.CountsShare != 0 {
+		t.Errorf("counts by default: %+v", o)
+	}
+	if all := old.Clashes(s); len(all) != 0 {
+		t.Errorf("clashes %v, expected none: the place of handover is empty, and it has a new one", all)
+	}
+	if after := s.After(old); !after.Takes(5) || after.Takes(2) || after.ProfileNames[2] != "handover" {
+		t.Errorf("after the switch: %q, gone %v", after.ProfileNames, after.Gone)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	data, _ := os.ReadFile("../../deploy/sentry.hcl")
 	f.Add(data)
