--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1075,7 +1075,9 @@
 		} else {
 			p.failing = failed / n
 		}
-		s.judge(c.Profile, errs, newest, n, failed)
+		if !newest || s.now-s.baseSeen <= countsFor*s.orders.CountsEvery { // else nothing tells what is usual now
+			s.judge(c.Profile, errs, newest, n, failed)
+		}
 		at := s.now - c.Age - s.orders.CountsEvery/2
 		s.tellMeans(p, n-float64(c.Failed), float64(c.Mean), newest, at)
 	})
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -66,6 +66,37 @@
 	}
 }
 
+// After a release nothing runs beside the build: that hand-offs fail more by then, for whatever reason, is held against
+// it only as long as the earlier build's last counts tell what is usual.
+func TestCountsAfterTheRelease(t *testing.T) {
+	for _, c := range []struct {
+		from int // period from which a third fails; the release is in the fourth
+		back bool
+	}{{5, true}, {9, false}} {
+		b := countStand()
+		b.counts(10, 90, 1, 60_000)
+		b.s.Listed(b.now, ListChanges, []Worker{{ID: "t0", Build: 11, Size: 1}, {ID: "t1", Build: 11, Size: 1}})
+		b.tell(News{Valid: true, Build: 11, Phase: OnTrial, Cap: 0.5})
+		for i := range 12 {
+			if b.now += 2 * second; i < 4 {
+				b.counts(10, 80, 1, 60_000)
+			} else if i == 4 {
+				b.tell(News{Valid: true, Build: 11, Stage: 1, Phase: Released, Cap: 1})
+			}
+			failed := 0
+			if i >= c.from {
+				failed = 20
+			}
+			b.counts(11, 60, failed, 60_000)
+			b.now += second / 2
+			b.see(b.s.Wake(b.now))
+		}
+		if b.back != c.back {
+			t.Errorf("failing from period %d on: voted back %v (sums %.1f)", c.from, b.back, b.s.sums())
+		}
+	}
+}
+
 // An outcome counts once: while counts come, this sentry's own change no sum; when they stay away, they judge again.
 func TestOwnOutcomesAndCounts(t *testing.T) {
 	b := countStand()
