--- a/cmd/scalechute/drill_test.go
+++ b/cmd/scalechute/drill_test.go
@@ -166,10 +166,23 @@
 `), 0o644); err != nil {
 		t.Fatal(err)
 	}
+	moved := filepath.Join(dir, "moved.hcl")
+	example, err := os.ReadFile("../../deploy/sentry.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(string(example), `listen   = "127.0.0.1:7400"`, `listen   = "127.0.0.1:7999"`, 1)
+	if err := os.WriteFile(moved, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
 	cases := []struct {
 		args     []string
 		out, err string
 	}{
+		{[]string{"check", moved}, "good; sentry 0 of 2", ""},
+		{[]string{"check", "--beside", "../../deploy/sentry.hcl", moved},
+			`moved.hcl:6:3: listen: found 127.0.0.1:7999, expected 127.0.0.1:7400 as the sentry runs with`, "1 of 1 files have faults"},
+		{[]string{"check", "--beside", bad, moved}, "", "no block deployment"},
 		{[]string{"check", "../../deploy/sentry.hcl"}, "good; sentry 0 of 2, 3 profiles", ""},
 		{[]string{"check", "../../deploy/sentry.hcl", bad}, "no block deployment, expected one", "1 of 2 files have faults"},
 		{[]string{"check", filepath.Join(dir, "none.hcl")}, "no such file", "1 of 1 files"},
--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -156,14 +156,22 @@
 }
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
+	beside := ""
+	c := &cobra.Command{
 		Use:   "check FILE...",
 		Short: "Check sentries' orders; each fault is a line with file, line and what was expected",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, files []string) error {
 			bad := 0
+			var running *orders.Sheet
+			if beside != "" {
+				var err error
+				if running, err = orders.Load(beside); err != nil {
+					return err
+				}
+			}
 			for _, name := range files {
-				sheet, err := orders.Load(name)
+				sheet, err := orders.LoadBeside(name, running)
 				if err != nil {
 					bad++
 					fmt.Fprintln(c.ErrOrStderr(), err)
@@ -184,4 +192,6 @@
 			return nil
 		},
 	}
+	c.Flags().StringVar(&beside, "beside", "", "the orders that a sentry runs with: what it can't change over to is a fault too")
+	return c
 }
