The free part of what a cold worker may get follows the rule's span and multiple

At fault: tooCold gave few sentries three hand-offs a window whatever the window; with 1 s and a multiple of 3 that alone is a third of the budget of a worker at its coldest. An assumption of a window of 2 s and a multiple of 4, where it is the same three as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,7 +62,7 @@
 	farther       = 1.0        // a worker of another zone joins a working set so much later
 	lookAt        = 4          // of the set, to this sentry's share: more would run after the same news
 	idle          = 0.5        // up to this load workers are alike, and chance decides
-	freeCold      = 3.0        // hand-offs to a cold worker that few sentries may always send
+	freeCold      = 0.375      // hand-offs to a cold worker that few sentries may send, a second and multiple
 	usualFade     = 0.02       // for each quarter second
 	coldPart      = 0.5        // of the stated multiple, what a cold worker may get
 )
@@ -589,7 +589,8 @@
 	if r := s.rosters[s.workers[w].Build]; r != nil && r.use < len(r.ready) { // the rest is for other sentries
 		fair *= float64(len(r.ready)) / float64(r.use)
 	}
-	extra := min(2, s.luck[w]+freeCold/float64(s.orders.Sentries))
+	free := freeCold * s.orders.FallMultiple * float64(s.orders.FallSpan) / float64(second)
+	extra := min(2, s.luck[w]+free/float64(s.orders.Sentries))
 	sent := float64(since(s.recent[w], s.now-s.orders.FallSpan))
 	return sent+1 > extra+coldPart*s.orders.FallMultiple*warmth*fair
 }
@@ -657,8 +658,7 @@
 
 // rankOf draws a worker's place in this sentry's order: its group's first, by size, the own zone's sooner.
 func (s *Sentry) rankOf(in Worker) float64 {
-	by := s.chance.ExpFloat64() / in.Size * (1 + farther*one(in.Zone != s.orders.Zone))
-	return by + notOurs*one(!s.ours(in.ID))
+	return s.chance.ExpFloat64()/in.Size*(1+farther*one(in.Zone != s.orders.Zone)) + notOurs*one(!s.ours(in.ID))
 }
 
 // AskFailed notes that the list could not be had.
