--- a/logic/logic.go
+++ b/logic/logic.go
@@ -90,7 +90,7 @@
 				expected: due / 6, bar: due / 4, rate: [kinds]float64{firstRate, firstRate}})
 			s.taken, s.exposed = append(s.taken, nil), append(s.exposed, nil)
 		}
-		s.profiles[i].Profile = p
+		s.profiles[i].Profile = &p
 		s.longest, s.outermost = max(s.longest, p.DueTime), max(s.outermost, p.OuterLimit)
 	}
 	s.span = max(o.ExposureWindow, o.FallSpan, second)
@@ -116,10 +116,7 @@
 		if len(s.mine) != s.places() { // counts by other places: they start anew under another name
 			s.mine, s.life = make([]uint64, s.places()), (s.life+1)%math.MaxUint32
 		}
-		for w := range s.rank {
-			s.rank[w] = math.Mod(s.rank[w], notOurs) + notOurs*one(!s.ours(s.workers[w].ID))
-		}
-		slices.SortFunc(s.order, func(a, b int) int { return cmp.Compare(s.rank[a], s.rank[b]) })
+		s.regroup()
 		s.lookAround()
 	})
 }
@@ -165,11 +162,6 @@
 				s.spare--
 				s.run(t, 1)
 			}
-			for _, h := range t.sends { // its worker may take work and answer none: a time-out tells so late
-				if !h.over && s.now >= h.sent+t.as.DueTime {
-					s.shun(h.worker)
-				}
-			}
 		}
 	})
 }
@@ -187,16 +179,17 @@
 	return s.hasRoom(t) || s.holdBack(t)
 }
 
-// hasRoom says whether one more may be open: a repeat wants half of the room free, for others have not had a
-// try yet, and clients that repeat at once and for long would leave nothing to them.
+// hasRoom says whether one more may be open. A repeat, or a try of a client in a hurry, wants half of the
+// room free, for others have not had a try yet, and clients that repeat at once would leave nothing to them.
+// Else an idle worker of the group makes room.
 func (s *Sentry) hasRoom(t *transaction) bool {
-	second := t.Again || t.Limit-t.arrived < t.as.DueTime
-	if float64(s.busy) < s.room*(1-repeatsLess*one(second)) {
-		return true
+	less := t.Again || t.Limit-t.arrived < t.as.DueTime
+	if fits := float64(s.busy) < s.room*(1-repeatsLess*one(less)); fits || less || !s.shares() {
+		return fits
 	}
-	return s.shares() && slices.ContainsFunc(s.rosters[s.base].ready[:s.rosters[s.base].ours], func(w int) bool {
-		return !second && !s.occupied(w) && s.nearNow(w) < roomNear
-	})
+	r := s.rosters[s.base]
+	idle := func(w int) bool { return !s.occupied(w) && s.nearNow(w) < roomNear }
+	return slices.ContainsFunc(r.ready[:r.ours], idle)
 }
 
 const (
@@ -296,7 +289,7 @@
 
 // giveUp answers at once: a deferral where a retry is harmless, else a write-off.
 func (s *Sentry) giveUp(t *transaction) bool {
-	p := &t.as
+	p := t.as
 	ran := slices.ContainsFunc(t.sends, func(h handOff) bool { return h.mayRun })
 	r := Ruling{Kind: WriteOff, Transaction: t.ID}
 	if !ran || p.Repeat == Redoable || p.Repeat == Labelled && p.Scope == ScopeAll {
@@ -379,39 +372,6 @@
 	return slow || s.inHand[w] > 0 || s.shunned[w] > s.now || s.fresh(w)*s.others[w] > s.held
 }
 
-// survey brings the rosters up to date: after a change of the list, and each quarter second for the cold and
-// the shunned, which stand last.
-func (s *Sentry) survey() {
-	for b, r := range s.rosters {
-		if len(r.ready) == 0 {
-			delete(s.rosters, b)
-		}
-		r.ready, r.can, r.bears, r.newest, r.ours = r.ready[:0], 0, 0, 0, 0
-	}
-	s.fleetCan = 0
-	for _, shunned := range []bool{false, true} {
-		for _, w := range s.order {
-			in := &s.workers[w]
-			if in.State != Ready || s.shunned[w] > s.now != shunned {
-				continue
-			}
-			r := s.rosters[in.Build]
-			if r == nil {
-				r = &roster{use: fewWorkers}
-				s.rosters[in.Build] = r
-			}
-			r.ready = append(r.ready, w)
-			r.newest = max(r.newest, in.Started)
-			r.ours += int(one(!shunned && s.rank[w] < notOurs))
-			if s.strikes[w] == 0 {
-				r.can += in.Size * s.warmth(w)
-				r.bears += in.Size * s.warmed(w)
-				s.fleetCan += in.Size * s.warmth(w)
-			}
-		}
-	}
-}
-
 // fresh is how much of what is known of a worker's load still counts: one that was full once is tried again.
 func (s *Sentry) fresh(w int) float64 { return max(0, 1-float64(s.now-s.heard[w])/float64(freshFor)) }
 
@@ -455,7 +415,7 @@
 
 // score is the load of a worker for its size: the lowest wins. Among equals chance decides, by size.
 func (s *Sentry) score(w int) float64 {
-	fresh, size := s.fresh(w), s.workers[w].Size*s.warmth(w)
+	fresh, size := s.fresh(w), s.workers[w].Size*s.warmth(w, s.now)
 	load := float64(s.inHand[w]) + max(fresh*s.others[w], s.nearNow(w))
 	if load < idle {
 		load = idle * (s.chance.ExpFloat64() - 1)
@@ -480,7 +440,7 @@
 	if s.workers[w].Build != b || s.workers[w].State != Ready || s.tooCold(w) {
 		return false
 	}
-	p := &t.as
+	p := t.as
 	for i := range t.sends {
 		h := &t.sends[i]
 		if h.worker == w && (!h.over || len(t.sends) < s.readyCount(b)) {
@@ -516,7 +476,6 @@
 	if s.orders.MayCopy && len(t.sends) == 1 {
 		s.alarm(s.now+t.as.DueTime/2, t)
 	}
-	s.alarm(s.now+t.as.DueTime, t)
 	return false
 }
 
@@ -525,7 +484,7 @@
 	if len(t.sends) >= s.orders.MostHandOffs || t.Limit-s.now < s.orders.Tick {
 		return false
 	}
-	p := &t.as
+	p := t.as
 	for i := range t.sends {
 		h := &t.sends[i]
 		if !h.over && !s.orders.MayCopy {
@@ -576,7 +535,7 @@
 // of its size usually gets of this sentry's traffic, chance standing in for what is less than one. It guards
 // against bursts, retries and fleets that start anew falling on a few, however many sentries there are.
 func (s *Sentry) tooCold(w int) bool {
-	warmth := s.warmth(w)
+	warmth := s.warmth(w, s.now)
 	if warmth >= 1 {
 		s.recent[w] = nil
 		return false
@@ -656,11 +615,25 @@
 	s.shunned[w] = max(s.shunned[w], s.now+max(second, Micros(s.memory()/4)))
 }
 
+// shunOverdue leaves out workers that take work and answer none, which a time-out would tell much later.
+func (s *Sentry) shunOverdue() {
+	for _, t := range s.open {
+		for i := range t.sends {
+			if h := &t.sends[i]; !h.over && s.now >= h.sent+t.as.DueTime {
+				s.shun(h.worker)
+			}
+		}
+	}
+}
+
 // rankOf draws a worker's place in this sentry's order: its group's first, by size, the own zone's sooner.
 func (s *Sentry) rankOf(in Worker) float64 {
 	return s.chance.ExpFloat64()/in.Size*(1+farther*one(in.Zone != s.orders.Zone)) + notOurs*one(!s.ours(in.ID))
 }
 
+// asked is when the list came: a subscription is renewed in time.
+func (s *Sentry) asked() { s.askWait, s.askAt = 0, s.now+s.orders.AskWithin/2 }
+
 // AskFailed notes that the list could not be had.
 func (s *Sentry) AskFailed(now Micros) Result {
 	return s.call(now, func() {
@@ -800,7 +773,10 @@
 	k, miss := kind(one(slow)), newest && (failed || slow)
 	weight := s.weigh(h.worker, k, miss)
 	s.ownMisses[k][h.worker] += uint64(one(miss))
-	if own := !s.counted(); own {
+	if newest && h.end.Ending == Answered {
+		s.wrong = max(0, s.wrong-wrongSlack)
+	}
+	if !s.counted() {
 		if warm {
 			s.judgeAll(p, took)
 		}
@@ -809,8 +785,6 @@
 		if warm {
 			s.observe(t.Profile, late, h.build != s.base, slow, weight)
 		}
-	} else if newest && h.end.Ending == Answered {
-		s.wrong = max(0, s.wrong-wrongSlack)
 	}
 	if h.build != s.base {
 		return
@@ -834,7 +808,7 @@
 // judge takes n outcomes of one build of which so many failed or were late. The earlier build's go into its
 // rate, the trial's excess over that adds up.
 func (s *Sentry) judge(id ProfileID, k kind, trial bool, n, hits float64) {
-	own, all := s.rows(id)
+	own, all := &s.profiles[id], &s.all
 	if !trial {
 		s.baseSeen = s.now
 		own.rate[k] += (1 - math.Pow(1-rateFade, n)) * (hits/n - own.rate[k])
@@ -912,7 +886,7 @@
 	paces := []float64{1}
 	for b, r := range s.rosters {
 		for _, w := range r.ready[:min(r.use, len(r.ready))] {
-			if (b == s.base || b == s.news.Build) && s.warmth(w) == 1 && s.recalled(w) > 0 {
+			if (b == s.base || b == s.news.Build) && s.warmth(w, s.now) == 1 && s.recalled(w) > 0 {
 				paces = append(paces, s.pace[w])
 			}
 		}
@@ -961,7 +935,7 @@
 	countsFor              = 4         // periods for which the platform's counts hold
 	meansFade              = 0.2       // for each of its periods
 	meansSlack             = 0.5       // share by which a mean may be longer
-	countsSlack            = 0.04      // and of failures, beyond twice the earlier build's
+	countsSlack            = 0.1       // and of failures, beyond twice the earlier build's
 
 	wrongWeight = 2 * voteBackAt
 	wrongSlack  = voteBackAt / 30 // for each answer of the trial
@@ -994,16 +968,11 @@
 		return
 	}
 	s.poolNext = s.now + second*3/4
-	if s.calmRate > 0 {
-		due := uint64(s.calmRate * float64(s.now-s.calmAt))
-		s.mine[len(s.mine)-2], s.mine[len(s.mine)-1] = due+s.came, s.came
-	}
 	if s.collects() {
 		body := pack(asAdvice, []uint64{uint64(s.news.Build), uint64(s.news.Stage), uint64(v)})
 		s.out.Messages = append(s.out.Messages, Message{To: EverySentry, Body: body})
 	}
-	values := append([]uint64{uint64(s.news.Build), s.life, uint64(len(s.mine))}, s.mine...)
-	values = s.appendMisses(values, mostNamed)
+	values := s.report(mostNamed)
 	for _, to := range s.collectorsAt() {
 		if to != s.orders.Position {
 			s.out.Messages = append(s.out.Messages, Message{To: to, Body: pack(asCounts, values)})
@@ -1019,6 +988,7 @@
 	oursLeast = 6   // workers in a group, else there is none
 	oursMost  = 3.0 // load from which others are tried, who do not hear of it
 	notOurs   = 1e6
+	nearFade  = 20.0 // usual times for which a hand-off counts whose end was not heard of
 )
 
 func (s *Sentry) groups() int { return max(1, s.orders.Sentries/groupSize) }
@@ -1034,6 +1004,27 @@
 	return s.together() && int(shortName(id))%s.groups() == int(s.orders.Position)%s.groups()
 }
 
+// tellNear tells the others of the group what became of a hand-off to one of its workers.
+func (s *Sentry) tellNear(w int, what byte) {
+	if !s.shares() || s.rank[w] >= notOurs {
+		return
+	}
+	body, g := pack(what, []uint64{shortName(s.workers[w].ID)}), s.groups()
+	for i := int(s.orders.Position) % g; i < s.orders.Sentries; i += g {
+		if SentryID(i) != s.orders.Position {
+			s.out.Messages = append(s.out.Messages, Message{To: SentryID(i), Body: body})
+		}
+	}
+}
+
+// nearNow is how much of what the neighbours handed to a worker it still has.
+func (s *Sentry) nearNow(w int) float64 {
+	if s.near[w] == 0 {
+		return 0
+	}
+	return max(0, s.near[w]-float64(s.now-s.nearAt[w])/max(1, nearFade*s.usualTime()))
+}
+
 // PeerSaid takes a message. What does not hold together is dropped.
 func (s *Sentry) PeerSaid(now Micros, from SentryID, body []byte) Result {
 	return s.call(now, func() {
@@ -1105,13 +1096,9 @@
 	} else if p.mean += max(meansFade, one(p.mean == 0)) * (mean - p.mean); !s.watched() {
 		p.meanCalm = p.mean
 	}
-	if p.meanCalm > 0 {
-		for _, of := range []*means{&s.means[0], &s.means[int(one(newest))]} {
-			of.n, of.took, of.calm = of.n+n, of.took+n*mean, of.calm+n*p.meanCalm
-			of.base += n * p.mean
-			if !newest {
-				break
-			}
+	for i := range s.means[:1+int(one(newest))] {
+		if m := &s.means[i]; p.meanCalm > 0 {
+			m.n, m.took, m.calm, m.base = m.n+n, m.took+n*mean, m.calm+n*p.meanCalm, m.base+n*p.mean
 		}
 	}
 }
@@ -1135,9 +1122,8 @@
 	if trial.n > 0 {
 		load *= max(1, s.calmCan*float64(s.reach)/max(100*s.capacity(s.news.Build), 1e-9))
 		longer := trial.took / max(trial.base, trial.calm*s.byLoad(load))
-		_, row := s.rows(0)
 		weight := lateWeight * trial.n * s.lateMeter.part(s.now, trial.n)
-		row.sum[late] = max(0, row.sum[late]+weight*(min(1, max(0, longer-1))-meansSlack))
+		s.all.sum[late] = max(0, s.all.sum[late]+weight*(min(1, max(0, longer-1))-meansSlack))
 	}
 }
 
@@ -1147,6 +1133,7 @@
 		return
 	}
 	s.voteNext = s.now + second/4
+	s.shunOverdue()
 	s.survey()
 	if s.means[0].n > 0 && s.now > s.countedAt {
 		s.judgeMeans()
--- a/logic/state.go
+++ b/logic/state.go
@@ -25,7 +25,7 @@
 
 type transaction struct {
 	Transaction
-	as           Profile // as the orders had it when this came
+	as           *Profile // as the orders had it when this came
 	arrived      Micros
 	slot         int // 0 to 99, by the two-build hash
 	worker       int // chosen, or -1
@@ -40,7 +40,7 @@
 
 // profileRow is what differs by profile.
 type profileRow struct {
-	Profile
+	*Profile                // other orders bring another one
 	expected float64        // usual time of an answer of the earlier build
 	bar      float64        // barShare of these take longer
 	rate     [kinds]float64 // the earlier build's rates of errors, and of hand-offs that take slowTimes the bar
@@ -329,7 +329,11 @@
 
 // trim drops the times up to and including from; since counts those after it. Both want them in order.
 func trim(times []Micros, from Micros) []Micros {
-	return times[len(times)-since(times, from):]
+	n := 0
+	for n < len(times) && times[n] <= from { // each is passed once, mostly one at a time
+		n++
+	}
+	return times[n:]
 }
 
 func since(times []Micros, from Micros) int {
@@ -388,11 +392,6 @@
 
 func (s *Sentry) start(w int) Micros { return max(s.workers[w].Started, s.revived[w]) }
 
-// rows are the profile's own row and the one for all profiles.
-func (s *Sentry) rows(p ProfileID) (own, all *profileRow) {
-	return &s.profiles[p], &s.all
-}
-
 type kind int
 
 const (
@@ -575,57 +574,6 @@
 	}
 }
 
-// warmthOf is the same for all ready workers of a build that ran at some time.
-func (s *Sentry) warmthOf(b BuildID, at Micros) float64 {
-	can, size, now := 0.0, 0.0, s.now
-	s.now = at
-	for _, w := range s.order {
-		if in := &s.workers[w]; in.Build == b && in.State == Ready && s.start(w) < at {
-			can, size = can+in.Size*s.warmth(w), size+in.Size
-		}
-	}
-	s.now = now
-	return can / max(size, 1e-9)
-}
-
-// warmed is how much of its warming up a worker has behind it, 0 to 1.
-func (s *Sentry) warmed(w int) float64 {
-	start := s.start(w)
-	if start <= 0 || s.orders.WarmUp <= 0 {
-		return 1
-	}
-	return min(1, max(0, float64(s.now-start)/float64(s.orders.WarmUp)))
-}
-
-// warmth is the least part of its work that a worker can do by now.
-func (s *Sentry) warmth(w int) float64 {
-	start := s.start(w)
-	if start <= 0 || s.orders.WarmUp <= 0 {
-		return 1
-	}
-	return s.orders.ColdFrom + (1-s.orders.ColdFrom)*s.warmed(w)
-}
-
-// nearNow is how much of what the neighbours handed to a worker it still has, taken to do one after the other.
-func (s *Sentry) nearNow(w int) float64 {
-	if s.near[w] == 0 {
-		return 0
-	}
-	return max(0, s.near[w]-float64(s.now-s.nearAt[w])/max(1, 20*s.usualTime()))
-}
-
-func (s *Sentry) tellNear(w int, what byte) {
-	if !s.shares() || s.rank[w] >= notOurs {
-		return
-	}
-	body, g := pack(what, []uint64{shortName(s.workers[w].ID)}), s.groups()
-	for i := int(s.orders.Position) % g; i < s.orders.Sentries; i += g {
-		if SentryID(i) != s.orders.Position {
-			s.out.Messages = append(s.out.Messages, Message{To: SentryID(i), Body: body})
-		}
-	}
-}
-
 // A stage passes a transaction on or keeps or ends it, and sees each ended hand-off on its way back.
 type stage struct {
 	ahead func(*Sentry, *transaction) bool
@@ -636,7 +584,7 @@
 func (s *Sentry) Listed(now Micros, kind ListKind, list []Worker) Result {
 	return s.call(now, func() {
 		if kind != ListRemembered {
-			s.askWait, s.askAt = 0, s.now+s.orders.AskWithin/2
+			s.asked()
 		}
 		if kind != ListChanges {
 			s.dropAll()
@@ -652,3 +600,79 @@
 		s.lookAround()
 	})
 }
+
+// warmed is how much of its warming up a worker had behind it at a time, 0 to 1.
+func (s *Sentry) warmed(w int, at Micros) float64 {
+	start := s.start(w)
+	if start <= 0 || s.orders.WarmUp <= 0 {
+		return 1
+	}
+	return min(1, max(0, float64(at-start)/float64(s.orders.WarmUp)))
+}
+
+// warmth is the least part of its work that a worker could do at a time.
+func (s *Sentry) warmth(w int, at Micros) float64 {
+	return s.orders.ColdFrom + (1-s.orders.ColdFrom)*s.warmed(w, at)
+}
+
+// warmthOf is the same for all ready workers of a build that ran then.
+func (s *Sentry) warmthOf(b BuildID, at Micros) float64 {
+	can, size := 0.0, 0.0
+	for _, w := range s.order {
+		if in := &s.workers[w]; in.Build == b && in.State == Ready && s.start(w) < at {
+			can, size = can+in.Size*s.warmth(w, at), size+in.Size
+		}
+	}
+	return can / max(size, 1e-9)
+}
+
+// regroup puts the workers in order again after the groups have changed.
+func (s *Sentry) regroup() {
+	for w := range s.rank {
+		s.rank[w] = math.Mod(s.rank[w], notOurs) + notOurs*one(!s.ours(s.workers[w].ID))
+	}
+	slices.SortFunc(s.order, func(a, b int) int { return cmp.Compare(s.rank[a], s.rank[b]) })
+}
+
+// report is what a message to the collectors tells: all counts since the trial began, and the misses of some workers.
+func (s *Sentry) report(most int) []uint64 {
+	if s.calmRate > 0 {
+		due := uint64(s.calmRate * float64(s.now-s.calmAt))
+		s.mine[len(s.mine)-2], s.mine[len(s.mine)-1] = due+s.came, s.came
+	}
+	values := append([]uint64{uint64(s.news.Build), s.life, uint64(len(s.mine))}, s.mine...)
+	return s.appendMisses(values, most)
+}
+
+// survey brings the rosters up to date: after a change of the list, and each quarter second for the cold and
+// the shunned, which stand last.
+func (s *Sentry) survey() {
+	for b, r := range s.rosters {
+		if len(r.ready) == 0 {
+			delete(s.rosters, b)
+		}
+		r.ready, r.can, r.bears, r.newest, r.ours = r.ready[:0], 0, 0, 0, 0
+	}
+	s.fleetCan = 0
+	for _, shunned := range []bool{false, true} {
+		for _, w := range s.order {
+			in := &s.workers[w]
+			if in.State != Ready || s.shunned[w] > s.now != shunned {
+				continue
+			}
+			r := s.rosters[in.Build]
+			if r == nil {
+				r = &roster{use: fewWorkers}
+				s.rosters[in.Build] = r
+			}
+			r.ready = append(r.ready, w)
+			r.newest = max(r.newest, in.Started)
+			r.ours += int(one(!shunned && s.rank[w] < notOurs))
+			if s.strikes[w] == 0 {
+				r.can += in.Size * s.warmth(w, s.now)
+				r.bears += in.Size * s.warmed(w, s.now)
+				s.fleetCan += in.Size * s.warmth(w, s.now)
+			}
+		}
+	}
+}
