Reread: one sheet, one way to decode; accounts keep their places, profiles have names

The command kept a copy of what the sentry runs by, reckoned once more beside it; it asks the sentry now. Three cases of a frame from a service were decoded in the same words. An account that had gone could give its number to another one at the next load, and a route could name an empty place; both are refused. The auditor holds forward-only keys against the orders of their time too.

--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -92,14 +92,12 @@
 				}
 			}()
 			watch(append([]string{config}, sheet.Files...), every, hangups, s.Done(), func() []string {
-				now, err := orders.LoadBeside(config, sheet)
+				now, err := orders.LoadBeside(config, s.Sheet())
 				if err == nil {
-					if err = s.Reload(now); err == nil {
-						sheet = now.After(sheet)
-					}
+					err = s.Reload(now)
 				}
 				s.Loaded(now, err)
-				return append([]string{config}, sheet.Files...)
+				return append([]string{config}, s.Sheet().Files...)
 			})
 			return nil
 		},
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -629,7 +629,7 @@
 				continue
 			}
 			n := a.newsAt(id, h.At)
-			a.forward(met, h, n)
+			a.either(id, h.At, h.At, func() { a.forward(met, h, n) })
 			if onTrial, _, _ := a.trial(id, h); onTrial {
 				for _, row := range []int{0, 1 + int(h.Profile)} {
 					sent[row] = append(sent[row], h)
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -72,23 +73,32 @@
 // name, so that no other can take it, and takes nothing.
 func (s *Sheet) After(was *Sheet) *Sheet {
 	now := *s
+	now.ProfileNames, now.Standing.Profiles = slices.Clone(s.ProfileNames), slices.Clone(s.Standing.Profiles)
 	now.Gone = make([]bool, max(len(s.ProfileNames), len(was.ProfileNames)))
-	now.ProfileNames, now.Standing.Profiles = nil, nil
-	for i := range now.Gone {
-		name, p := "", logic.Profile{DueTime: 1_000_000, OuterLimit: 1_000_000}
-		if i < len(s.ProfileNames) && s.ProfileNames[i] != "" {
-			name, p = s.ProfileNames[i], s.Standing.Profiles[i]
-		} else if now.Gone[i] = true; i < len(was.ProfileNames) && was.ProfileNames[i] != "" {
-			name, p = was.ProfileNames[i], was.Standing.Profiles[i]
+	for i, name := range was.ProfileNames {
+		now.fill(i)
+		if name != "" && now.ProfileNames[i] == "" {
+			now.ProfileNames[i], now.Standing.Profiles[i], now.Gone[i] = name, was.Standing.Profiles[i], true
 		}
-		now.ProfileNames, now.Standing.Profiles = append(now.ProfileNames, name), append(now.Standing.Profiles, p)
+	}
+	if n := len(s.AccountNames); n < len(was.AccountNames) {
+		now.AccountNames = append(slices.Clone(s.AccountNames), was.AccountNames[n:]...)
+		now.Standing.Accounts = append(slices.Clone(s.Standing.Accounts), was.Standing.Accounts[n:]...)
 	}
 	return &now
 }
 
+// fill makes places up to one; none has them yet, and they take nothing.
+func (s *Sheet) fill(place int) {
+	for len(s.ProfileNames) <= place {
+		s.ProfileNames = append(s.ProfileNames, "")
+		s.Standing.Profiles = append(s.Standing.Profiles, logic.Profile{DueTime: 1_000_000, OuterLimit: 1_000_000})
+	}
+}
+
 // Takes says whether a place has a profile that is taken.
 func (s *Sheet) Takes(place int) bool {
-	return place < len(s.ProfileNames) && s.ProfileNames[place] != "" && (place >= len(s.Gone) || !s.Gone[place])
+	return place < len(s.ProfileNames) && s.ProfileNames[place] != "" && !(place < len(s.Gone) && s.Gone[place])
 }
 
 // OuterLimit is that of the profile with the longest: nothing is open any longer.
@@ -254,10 +264,10 @@
 		}
 		place := b.Whole("place", false, min(i, 255), 0, 255)
 		b.Done()
-		for len(s.ProfileNames) <= place { // a place that none has takes nothing
-			s.ProfileNames = append(s.ProfileNames, "")
-			s.Standing.Profiles = append(s.Standing.Profiles, logic.Profile{DueTime: 1_000_000, OuterLimit: 1_000_000})
+		if b.Labels[0] == "" {
+			b.Fault("profile without a name, expected one")
 		}
+		s.fill(place)
 		if other := s.ProfileNames[place]; other != "" {
 			b.FaultAt("place", "found %d, expected one that %s does not have", place, other)
 			continue
--- a/internal/routes/read.go
+++ b/internal/routes/read.go
@@ -217,6 +217,9 @@
 			b.Fault("route %s: the file has no profile, expected one for it", x.Name)
 		} else {
 			x.Profile = b.Word("profile", true, 0, r.book.Profiles...)
+			if r.book.Profiles[x.Profile] == "" && b.Has("profile") { // a place that none has
+				b.FaultAt("profile", "found \"\", expected the name of one")
+			}
 		}
 		if b.Has("account") && len(r.book.Accounts) == 0 {
 			b.FaultAt("account", "found one, expected none in a file without accounts")
--- a/internal/sentry/routing.go
+++ b/internal/sentry/routing.go
@@ -113,6 +113,9 @@
 	return nil
 }
 
+// Sheet is what the sentry runs by. What is read to be loaded is read beside it.
+func (s *Sentry) Sheet() *orders.Sheet { return s.routing.Load().sheet }
+
 // Reload takes the orders of a sheet that was read anew, whole, between two inputs of the loop. What was taken ends under
 // the profile that it came with; nothing that a rule counts starts anew. What a running sentry can't change is refused,
 // and the old orders stay.
--- a/internal/sentry/upstream.go
+++ b/internal/sentry/upstream.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"scalechute/internal/input"
 	"scalechute/internal/orders"
 	"scalechute/internal/wire"
@@ -98,30 +100,25 @@
 }
 
 func (s *Sentry) fromUpstream(u *upstream, kind wire.Kind, body []byte) error {
+	e, m := event{}, proto.Message(nil)
 	switch {
 	case kind == wire.KindReport && u == s.list:
-		m := &pb.Report{}
-		if err := unmarshal(body, m); err != nil {
-			return err
-		}
-		s.inbox.put(&event{kind: evReport, report: m}, true)
-		return nil
+		e.kind, e.report = evReport, &pb.Report{}
+		m = e.report
 	case kind == wire.KindCounts && u == s.desk:
-		m := &pb.Counts{}
-		if err := unmarshal(body, m); err != nil {
-			return err
-		}
-		s.inbox.put(&event{kind: evCounts, counts: m}, true)
-		return nil
+		e.kind, e.counts = evCounts, &pb.Counts{}
+		m = e.counts
 	case kind == wire.KindNews && u == s.desk:
-		m := &pb.News{}
-		if err := unmarshal(body, m); err != nil {
-			return err
-		}
-		s.inbox.put(&event{kind: evNews, news: m}, true)
-		return nil
+		e.kind, e.news = evNews, &pb.News{}
+		m = e.news
+	default:
+		return fault("a frame of kind "+strconv.Itoa(int(kind)), "one that the "+u.name+" may send")
+	}
+	if err := unmarshal(body, m); err != nil {
+		return err
 	}
-	return fault("a frame of kind "+strconv.Itoa(int(kind)), "one that the "+u.name+" may send")
+	s.inbox.put(&e, true)
+	return nil
 }
 
 // The list.
