--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -16,389 +16,267 @@
 	return b
 }
 
-// counts tells one period: of each profile so many of each build, of which some failed, in a mean time.
+func (b *stand) trial() {
+	b.s.Listed(b.now, ListChanges, []Worker{{ID: "t0", Build: 11, Size: 1}, {ID: "t1", Build: 11, Size: 1}})
+	b.tell(News{Valid: true, Build: 11, Phase: OnTrial, Cap: 0.5})
+}
+
+// counts tells one period, of each profile alike, and lets the sentry judge it.
 func (b *stand) counts(build BuildID, n, failed int, mean Micros) {
 	for p := range b.s.profiles {
-		b.see(b.s.Counted(b.now, Counts{Build: build, Profile: ProfileID(p), HandOffs: n, Failed: failed, Mean: mean,
-			Age: second}))
+		b.see(b.s.Counted(b.now, Counts{Build: build, Profile: ProfileID(p), HandOffs: n, Failed: failed, Mean: mean, Age: second}))
 	}
 }
 
-// Where sentries may not speak to each other, the platform's counts judge: bad builds go back on them alone, and what
-// machines do to both builds or chance does to a few answers does not send one back.
+// Where sentries may not speak, counts judge: bad builds go back on them alone, and what machines do to both builds, chance
+// does to a few answers, or comes long after the release sends none back.
 func TestCountsJudge(t *testing.T) {
-	type period func(b *stand, i int)
 	for _, c := range []struct {
-		name string
-		of   period
-		back bool
+		name                    string
+		earlier, trial, release int // failures in a period, and the period of the release
+		mean                    Micros
+		grows, back             bool
 	}{
-		{"a good build", func(b *stand, i int) { b.counts(10, 80, 1, 60_000); b.counts(11, 12, 0, 60_000) }, false},
-		{"a third fails", func(b *stand, i int) { b.counts(10, 80, 1, 60_000); b.counts(11, 12, 4, 60_000) }, true},
-		{"a third fails of both", func(b *stand, i int) { b.counts(10, 80, 26, 60_000); b.counts(11, 12, 4, 60_000) }, false},
-		{"one failure a period", func(b *stand, i int) { b.counts(10, 80, 1, 60_000); b.counts(11, 12, 1, 60_000) }, false},
-		{"it takes thrice as long", func(b *stand, i int) { b.counts(10, 80, 1, 60_000); b.counts(11, 12, 0, 180_000) }, true},
-		{"a third longer", func(b *stand, i int) { b.counts(10, 80, 1, 60_000); b.counts(11, 12, 0, 80_000) }, false},
-		{"all get slower", func(b *stand, i int) {
-			b.counts(10, 80, 1, 60_000*Micros(i+1))
-			b.counts(11, 12, 0, 60_000*Micros(i+1))
-		}, true},
+		{"a good build", 1, 0, 9, 60_000, false, false}, {"a third fails", 1, 4, 9, 60_000, false, true},
+		{"a third fails of both", 26, 4, 9, 60_000, false, false}, {"one failure a period", 1, 1, 9, 60_000, false, false},
+		{"thrice as long", 1, 0, 9, 180_000, false, true}, {"a third longer", 1, 0, 9, 80_000, false, false},
+		{"all get slower", 1, 0, 9, 60_000, true, true}, {"a third fails, beside no earlier one for long", 1, 4, -5, 60_000, false, false},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			b := countStand()
-			for range 4 {
-				b.now += 2 * second
-				b.counts(10, 90, 1, 60_000)
-			}
-			b.now += 2 * second
-			b.s.Listed(b.now, ListChanges, []Worker{{ID: "t0", Build: 11, Size: 1}, {ID: "t1", Build: 11, Size: 1}})
-			b.tell(News{Valid: true, Build: 11, Phase: OnTrial, Cap: 0.5})
-			for i := range 6 {
-				b.now += 2 * second
-				c.of(b, i)
-				b.now += second / 2
-				b.see(b.s.Wake(b.now))
-			}
-			if b.back != c.back {
-				t.Errorf("voted back: %v, want %v (sums %.1f)", b.back, c.back, b.s.sums())
-			}
-		})
-	}
-}
-
-// After a release nothing runs beside the build: that hand-offs fail more by then, for whatever reason, is held against
-// it only as long as the earlier build's last counts tell what is usual.
-func TestCountsAfterTheRelease(t *testing.T) {
-	for _, c := range []struct {
-		from int // period from which a third fails; the release is in the fourth
-		back bool
-	}{{5, true}, {9, false}} {
 		b := countStand()
-		b.counts(10, 90, 1, 60_000)
-		b.s.Listed(b.now, ListChanges, []Worker{{ID: "t0", Build: 11, Size: 1}, {ID: "t1", Build: 11, Size: 1}})
-		b.tell(News{Valid: true, Build: 11, Phase: OnTrial, Cap: 0.5})
-		for i := range 12 {
-			if b.now += 2 * second; i < 4 {
-				b.counts(10, 80, 1, 60_000)
-			} else if i == 4 {
-				b.tell(News{Valid: true, Build: 11, Stage: 1, Phase: Released, Cap: 1})
-			}
-			failed := 0
-			if i >= c.from {
-				failed = 20
+		for i := range 4 {
+			b.now += 2 * second
+			b.counts(10, 90+i, 1, 60_000)
+			b.now += second / 2
+			b.see(b.s.Wake(b.now))
+		}
+		b.trial()
+		if c.release < 0 {
+			b.counts(11, 12, 0, 60_000)
+			b.tell(News{Valid: true, Build: 11, Phase: Released, Cap: 1})
+			b.now += 10 * second
+		}
+		for i := range Micros(6) {
+			slower := 1 + i*Micros(one(c.grows))
+			b.now += 2 * second
+			if c.release > 0 {
+				b.counts(10, 80, c.earlier, 60_000*slower)
 			}
-			b.counts(11, 60, failed, 60_000)
+			b.counts(11, 12, c.trial, c.mean*slower)
 			b.now += second / 2
 			b.see(b.s.Wake(b.now))
 		}
 		if b.back != c.back {
-			t.Errorf("failing from period %d on: voted back %v (sums %.1f)", c.from, b.back, b.s.sums())
+			t.Errorf("%s: voted back %v (sums %.1f)", c.name, b.back, b.s.sums())
 		}
 	}
 }
 
-// An outcome counts once: while counts come, this sentry's own change no sum; when they stay away, they judge again.
-func TestOwnOutcomesAndCounts(t *testing.T) {
+// An outcome counts once: own ones change no sum while counts come, and judge again when these stay away. One report of a wrong
+// answer votes back for some answers, one on the earlier build takes it away, and before a trial none counts.
+func TestOwnOutcomesAndReports(t *testing.T) {
 	b := countStand()
-	b.s.Listed(b.now, ListChanges, []Worker{{ID: "t0", Build: 11, Size: 1}, {ID: "t1", Build: 11, Size: 1}})
-	b.tell(News{Valid: true, Build: 11, Phase: OnTrial, Cap: 0.5})
-	fails := func(w WorkerID, n int) (Ending, Micros) {
-		if trialWorker(w) {
-			return Errored, 5_000
-		}
-		return Answered, 50_000
-	}
+	b.see(b.s.Complained(b.now, Complaint{Worker: "e1"}))
+	fails := func(w WorkerID, n int) (Ending, Micros) { return Ending(one(trialWorker(w))), 50_000 } // Errored
+	b.trial()
 	for range 10 {
 		b.counts(10, 80, 0, 60_000)
 		b.counts(11, 12, 0, 60_000)
 		b.serve(20, fails)
 	}
-	if sum := slices.Max(b.s.sums()); sum > 0 || b.back {
-		t.Errorf("sum %.1f of own outcomes beside counts of no failure, expected 0", sum)
+	if sum := slices.Max(b.s.sums()); sum > 0 || b.back || b.s.wrong > 0 {
+		t.Errorf("sum %.1f of own outcomes beside counts of no failure, %.1f of a report before the trial", sum, b.s.wrong)
 	}
-	b.now += 9 * second
-	b.serve(200, fails)
-	if !b.back {
-		t.Errorf("no counts for 9 s and no vote back on own outcomes (sums %.1f)", b.s.sums())
-	}
-}
-
-// One report of a wrong answer of the trial votes back for some answers; one on the earlier build takes it away, and
-// before a trial none counts.
-func TestReportsOfWrongAnswers(t *testing.T) {
-	b := countStand()
-	b.see(b.s.Complained(b.now, Complaint{Worker: "e1"}))
-	b.now += second
-	b.see(b.s.Wake(b.now))
-	if b.back {
-		t.Fatal("a report on a build that was never on trial votes back")
-	}
-	start := func() {
-		b.back = false
-		b.s.Listed(b.now, ListChanges, []Worker{{ID: "t0", Build: 11, Size: 1}, {ID: "t1", Build: 11, Size: 1}})
-		b.tell(News{Valid: true, Build: 11, Phase: OnTrial, Cap: 0.5})
-		b.counts(10, 80, 0, 60_000)
-		b.counts(11, 12, 0, 60_000)
-		b.now += second
-	}
-	start()
-	b.see(b.s.Complained(b.now, Complaint{Worker: "t1"}))
-	b.now += second
-	b.see(b.s.Wake(b.now))
-	if !b.back || b.s.blamed {
-		t.Fatalf("back %v, for good %v; expected a vote back that can lapse", b.back, b.s.blamed)
-	}
-	b.see(b.s.Complained(b.now, Complaint{Worker: "e1"}))
-	if b.s.wrong > 0 {
-		t.Errorf("sum %.1f after a report on the earlier build, expected 0", b.s.wrong)
-	}
-	b.see(b.s.Complained(b.now, Complaint{Worker: "t1"}))
-	for range 20 {
-		b.counts(11, 12, 0, 60_000)
-		b.serve(20, func(WorkerID, int) (Ending, Micros) { return Answered, 50_000 })
+	for _, w := range []WorkerID{"t1", "e1", "t1"} {
+		b.see(b.s.Complained(b.now, Complaint{Worker: w}))
+		b.back, b.now = false, b.now+second
+		if b.see(b.s.Wake(b.now)); b.s.blamed || (b.s.wrong > voteBackAt) != trialWorker(w) || trialWorker(w) && !b.back {
+			t.Errorf("a report on %s: sum %.1f, voted back %v, for good %v", w, b.s.wrong, b.back, b.s.blamed)
+		}
 	}
+	b.serve(400, func(WorkerID, int) (Ending, Micros) { return Answered, 50_000 })
 	if b.s.wrong > voteBackAt {
 		t.Errorf("sum %.1f after two hundred right answers of the trial", b.s.wrong)
 	}
+	if b.back, b.now = false, b.now+9*second; b.back {
+		t.Fatal("voted back on right answers")
+	}
+	if b.serve(200, fails); !b.back {
+		t.Errorf("no counts for 9 s and no vote back on own outcomes (sums %.1f)", b.s.sums())
+	}
 }
 
-// zones is a sentry in zone 0 before workers of two zones.
-func zones(t *testing.T) *stand {
-	t.Helper()
+// A way is known by its zone from few answers, and forgotten; while new connections are refused those that are open are used and
+// the set does not grow; a worker that fails at once draws nothing, and one with an overdue hand-off is left out.
+func TestBadWaysAndWorkers(t *testing.T) {
 	b := newStand(1, 0)
 	o := b.s.orders
-	o.ConnectLimit, o.MostHandOffs = second/4, 3
+	o.ConnectLimit, o.WarmUp, o.MostHandOffs = second/4, 0, 3
 	b.s = New(o, 3)
-	var list []Worker
-	for i := range 6 {
-		list = append(list, Worker{ID: WorkerID(fmt.Sprint("n", i)), Build: 10, Size: 1},
-			Worker{ID: WorkerID(fmt.Sprint("f", i)), Build: 10, Size: 1, Zone: 1})
+	s, row, list := b.s, map[WorkerID]int{}, []Worker(nil)
+	for i, id := range []WorkerID{"n0", "n1", "n2", "f0", "f1", "f2"} {
+		list = append(list, Worker{ID: id, Size: 1, Zone: ZoneID(i / 3)})
 	}
-	b.s.Listed(b.now, ListWhole, list)
-	b.tell(News{Valid: true, Build: 10, Phase: Released, Cap: 1})
-	return b
-}
-
-// A slow way is known by its zone, from few answers, and hardly used while the own zone's workers do.
-func TestSlowWay(t *testing.T) {
-	b := zones(t)
-	far := 0
-	answer := func(w WorkerID, n int) (Ending, Micros) {
-		if w[0] == 'f' {
-			far++
-			return Answered, 450_000
-		}
-		return Answered, 50_000
+	b.see(s.Listed(b.now, ListWhole, list))
+	b.tell(News{Valid: true, Phase: Released, Cap: 1})
+	ended := func(id WorkerID, e Ending, took Micros) {
+		s.learnWorker(&transaction{}, &handOff{worker: s.index[id], opened: true, end: HandOffEnd{Ending: e, Took: took, Load: NoLoad}})
 	}
-	b.serve(100, answer)
-	far = 0
-	b.serve(300, answer)
-	if far > 15 {
-		t.Errorf("%d of 300 went the slow way", far)
+	for range 4 {
+		ended("f0", Answered, 450_000)
+		ended("n0", Answered, 50_000)
 	}
-}
-
-// While new connections are refused everywhere, the few open ones are used.
-func TestRefusedConnections(t *testing.T) {
-	b := zones(t)
-	open, refused := map[WorkerID]bool{}, 0
-	answer := func(w WorkerID, n int) (Ending, Micros) {
-		if open[w] = open[w] || len(open) < 3; !open[w] {
-			refused++
-			return Unconnected, 200_000
-		}
-		return Answered, 50_000
+	if s.farther(1) < 1.5 || s.farther(0) != 1 {
+		t.Errorf("the other zone is %.1f times as far, the own one %.1f", s.farther(1), s.farther(0))
 	}
-	b.serve(100, answer)
-	refused = 0
-	b.serve(300, answer)
-	if refused > 30 {
-		t.Errorf("%d refused connections for 300 transactions with three open", refused)
+	for range 10 {
+		ended("n1", Unconnected, 200_000)
 	}
-}
-
-// A worker that answers with errors at once does not draw traffic by being quick.
-func TestQuickErrorsDrawNothing(t *testing.T) {
-	b := zones(t)
-	bad := 0
-	answer := func(w WorkerID, n int) (Ending, Micros) {
-		if w == "n1" || w == "n2" {
-			bad++
-			return Errored, 1_000
+	r := s.rosters[0]
+	for i, id := range []WorkerID{"n0", "f2", "n1", "f1", "f0", "n2"} {
+		r.ready[i], row[id] = s.index[id], s.index[id]
+	}
+	r.use, s.shunned[row["n1"]], s.inHand[row["n0"]] = 4, 0, 1
+	for range 20 {
+		if w := s.choose(&transaction{as: s.profiles[0].Profile}, 0); w != row["n0"] || r.use != 4 {
+			t.Fatalf("%s chosen of a set of %d, expected n0, the only open connection of four", s.workers[w].ID, r.use)
 		}
-		return Answered, 50_000
 	}
-	b.serve(100, answer)
-	bad = 0
-	b.serve(300, answer)
-	if bad > 30 {
-		t.Errorf("%d of 300 to two of twelve workers that only fail", bad)
+	s.inHand[row["n0"]], s.shut = 0, 0
+	for range 20 {
+		ended("n2", Errored, 1_000)
 	}
-}
-
-// Clients that give up long before the due time say nothing of the load: others go on being served.
-func TestClientsInAHurry(t *testing.T) {
-	b := zones(t)
-	b.serve(200, func(WorkerID, int) (Ending, Micros) { return Answered, 50_000 })
-	b.s.orders.Sentries, b.s.usual, b.s.room = 100, 0, 8
-	for range 5 {
-		b.s.learnRoom(&b.s.profiles[0], 0, HandOffEnd{Ending: TimedOut, Took: 100_000})
+	s.shunned[row["n2"]], r.ready = 0, []int{row["n2"], row["n0"]}
+	for range 20 {
+		if w := s.least(r.ready, &transaction{as: s.profiles[0].Profile}, 0); w == row["n2"] {
+			t.Fatal("a worker that fails at once is taken for idle")
+		}
 	}
-	hurried := b.s.room
-	for range 5 {
-		b.s.learnRoom(&b.s.profiles[0], 0, HandOffEnd{Ending: TimedOut, Took: 600_000})
+	s.lookAround()
+	b.see(s.Arrive(b.now, Transaction{ID: "hung", Account: NoAccount, Limit: b.now + 2*second}))
+	hung := s.index[b.last.Rulings[0].Worker]
+	b.now += second * 3 / 4 // past its due time, far from its limit
+	if b.see(s.Wake(b.now)); s.shunned[hung] <= b.now {
+		t.Error("a worker with an overdue hand-off is not left out")
 	}
-	if hurried != 8 || b.s.room > 4 {
-		t.Errorf("room %.1f after time-outs of clients in a hurry, %.1f after some past the due time", hurried, b.s.room)
+	if s.now += 60 * second; s.farther(1) != 1 {
+		t.Errorf("a minute later the other zone is still %.1f times as far", s.farther(1))
 	}
 }
 
-// Repeats leave half of the room to first tries.
-func TestRepeatsLeaveRoom(t *testing.T) {
-	b := zones(t)
-	handed := func(again bool) (n int) {
-		for range 100 {
-			b.n++
-			b.see(b.s.Arrive(b.now, Transaction{ID: TransactionID(fmt.Sprint(b.n)), Account: NoAccount,
-				Key: Key(fmt.Sprint(b.n)), Limit: b.now + 2*second, Again: again}))
-			for _, r := range b.last.Rulings {
-				n += int(one(r.Kind == HandOff))
-			}
+// What narrows the room, and what keeps it open.
+func TestRoom(t *testing.T) {
+	b := newStand(8, 0)
+	b.s.orders.Sentries, b.s.usual = 100, 0
+	for _, c := range []struct {
+		e              Ending
+		took           Micros
+		usual, atLeast float64
+		atMost         float64
+	}{{TimedOut, 100_000, 0, 8, 8}, {TimedOut, 600_000, 0, 1, 4}, {Answered, 600_000, 0, 1, 4}, {Answered, 600_000, 60, 10, 13}} {
+		b.s.room, b.s.usual = 8, c.usual
+		for range 5 {
+			b.s.learnRoom(&b.s.profiles[0], 0, HandOffEnd{Ending: c.e, Took: c.took})
+		}
+		if b.s.room < c.atLeast || b.s.room > c.atMost {
+			t.Errorf("%+v: room %.1f", c, b.s.room)
 		}
-		return n
 	}
-	repeats, first := handed(true), handed(false)
-	if repeats == 0 || first < repeats-2 {
-		t.Errorf("%d repeats handed off, then %d first tries, expected about as many", repeats, first)
+	b.s.room, b.s.busy = 8, 4
+	first, due := transaction{Transaction: Transaction{Limit: second}}, Profile{DueTime: second / 2}
+	again, hurried := first, first
+	first.as, again.as, again.Again, hurried.as, hurried.Limit = &due, &due, true, &due, second/4
+	if !b.s.hasRoom(&first) || b.s.hasRoom(&again) || b.s.hasRoom(&hurried) {
+		t.Error("half of the room is for first tries of clients that wait")
+	}
+	for _, c := range []struct{ multiple, seconds, free float64 }{{4, 2, 2}, {4, 1, 1}, {2, 1, 0}} { // cold, and never used before
+		b.s.orders.FallMultiple, b.s.orders.FallSpan, b.s.usual, b.s.orders.Sentries = c.multiple, Micros(c.seconds*float64(second)), 0, 1
+		b.s.workers[0].Started, b.s.luck[0], b.s.luckTill[0], b.s.recent[0] = b.now-1, 0, b.now+second, nil
+		for ; !b.s.tooCold(0); b.s.recent[0] = append(b.s.recent[0], b.now) {
+		}
+		if n := float64(len(b.s.recent[0])); n != c.free {
+			t.Errorf("%+v: %v hand-offs to a cold worker", c, n)
+		}
+	}
+	h := &handOff{end: HandOffEnd{Load: Load{Held: -1, Busy: 0.8, Served: 40}}}
+	if got, want := b.s.holds(0, h), 40*b.s.pace[0]*b.s.usualTime()/1e6; got != want || got <= 0 {
+		t.Errorf("holds %.2f, expected %.2f", got, want)
 	}
 }
 
-// Sentries of a group know of each other's hand-offs: no worker of theirs queues while another idles.
+// Sentries of a group know of each other's hand-offs, and of their ends; all watch a trial that they have not met.
 func TestNeighbours(t *testing.T) {
 	c := newCrowd(24, 24, 5)
 	c.run(8*second, 3)
-	if s := c.all[0]; !s.shares() {
-		t.Fatalf("%d sentries before %d workers share none", len(c.all), len(c.list))
-	}
-	s := c.all[0]
-	r := s.rosters[10]
-	w := r.ready[0]
-	peer := slices.IndexFunc(c.all[1:], func(x *Sentry) bool { return int(x.orders.Position)%x.groups() == 0 }) + 1
-	for range 3 {
-		s.PeerSaid(c.now, SentryID(peer), pack(asHandOff, []uint64{shortName(s.workers[w].ID)}))
-	}
-	for i := range 20 {
-		in := Transaction{ID: TransactionID(fmt.Sprint("n", i)), Account: NoAccount, Limit: c.now + second, Key: "k"}
-		res := s.Arrive(c.now, in)
-		for _, x := range res.Rulings {
-			if x.Kind == HandOff && x.Worker == s.workers[w].ID {
-				t.Fatalf("transaction %d went to a worker with three of the neighbours", i)
+	s, last := c.all[0], WorkerID("")
+	w := s.rosters[10].ready[0]
+	peer := SentryID(s.groups())
+	for i := range 40 {
+		what := byte(asHandOff + i/20*(asEnded-asHandOff)) // twenty times handed to it, then twenty ended
+		s.PeerSaid(c.now, peer, pack(what, []uint64{shortName(s.workers[w].ID)}))
+		for _, x := range s.Arrive(c.now, Transaction{ID: TransactionID(fmt.Sprint("n", i)), Account: NoAccount, Limit: c.now + second}).Rulings {
+			if x.Kind == HandOff {
+				last = x.Worker
+				s.HandOffEnded(c.now, HandOffEnd{Transaction: x.Transaction, Worker: x.Worker, Closed: true, Took: 1, Load: NoLoad})
+			}
+			if x.Worker == s.workers[w].ID && i > 0 && i < 30 {
+				t.Fatalf("transaction %d went to a worker with %.1f of the neighbours", i, s.nearNow(w))
 			}
-			s.HandOffEnded(c.now, HandOffEnd{Transaction: in.ID, Worker: x.Worker, Closed: true, Took: 1, Load: NoLoad})
 		}
 	}
-}
-
-// What serves so many a second and takes so long for one has that many, where it does not tell.
-func TestHeldFollowsFromServed(t *testing.T) {
-	b := newStand(4, 0)
-	h := &handOff{end: HandOffEnd{Load: Load{Held: -1, Busy: 0.8, Served: 40}}}
-	if got, want := b.s.holds(0, h), 40*b.s.pace[0]*b.s.usualTime()/1e6; got != want || got <= 0 {
-		t.Errorf("holds %.2f, expected %.2f", got, want)
+	if !s.shares() || last == "" || s.nearNow(w) > 0.1 {
+		t.Errorf("shares %v, last %q, %.1f left", s.shares(), last, s.nearNow(w))
 	}
-	h.end.Load = NoLoad
-	if got := b.s.holds(0, h); got >= 0 {
-		t.Errorf("holds %.2f where nothing is told", got)
+	if c.tell(News{Valid: true, Build: 11, Phase: OnTrial, Cap: 0.1}); !s.watched() {
+		t.Error("one of many that has not met the trial does not watch")
 	}
 }
 
-// Orders change in the middle of a trial, exposure by profile on and off among other figures, at random: within any
-// window the hand-offs to the trial keep every bound that held in it, and no count starts anew.
+// Orders change in the middle of a trial, exposure by profile on and off, and the cap falls: within any window the hand-offs to
+// the trial keep every bound that held in it, and no count starts anew.
 func FuzzOrdersChange(f *testing.F) {
 	for seed := range 30 {
 		f.Add(int64(seed))
 	}
 	f.Fuzz(func(t *testing.T, seed int64) {
-		chance := rand.New(rand.NewSource(seed))
-		b := newStand(8, 8)
-		o := b.s.orders
-		type seen struct {
-			at Micros
-			p  ProfileID
-		}
-		var taken, sent []seen
-		in := []exposure{{o.FreeExposure, o.ExposureWindow, o.ExposureByProfile, 1 << 60}} // and until when
-		from := b.now
-		next := trialKeys(50)
+		chance, b := rand.New(rand.NewSource(seed)), newStand(8, 8)
+		o, from, share, next := b.s.orders, b.now, 0.5, trialKeys(10)
+		taken, sent := [][]Micros{nil, nil, nil}, [][]Micros{nil, nil, nil} // over all, and by profile
+		in := []exposure{{o.FreeExposure, o.ExposureWindow, o.ExposureByProfile, 1 << 60}}
 		b.now += 2 * o.ExposureWindow
-		for range 600 {
-			b.now += Micros(1 + chance.Intn(40_000))
-			if chance.Intn(20) == 0 {
-				last := &in[len(in)-1]
-				last.until = b.now + last.window
+		for i := range 600 {
+			if b.now += Micros(1 + chance.Intn(40_000)); chance.Intn(20) == 0 {
+				in[len(in)-1].until = b.now + in[len(in)-1].window
 				o.FreeExposure, o.ExposureByProfile = float64(chance.Intn(4)), chance.Intn(2) == 0
-				o.ExposureWindow = Micros(1+chance.Intn(4)) * second
-				o.MostHandOffs, o.DrainGrace = 1+chance.Intn(3), Micros(chance.Intn(2))*second
+				o.ExposureWindow, o.DrainGrace = Micros(1+chance.Intn(4))*second, Micros(chance.Intn(2))*second
 				b.see(b.s.Ordered(b.now, o))
 				in = append(in, exposure{o.FreeExposure, o.ExposureWindow, o.ExposureByProfile, 1 << 60})
 			}
-			b.n++
-			p, id := ProfileID(chance.Intn(2)), TransactionID(fmt.Sprint("o", b.n))
-			taken = append(taken, seen{b.now, p})
-			b.see(b.s.Arrive(b.now, Transaction{ID: id, Profile: p, Account: NoAccount, Key: next(), Limit: b.now + second}))
+			if i == 400 {
+				from, share = b.now, 0.1 // counted anew from there
+				b.tell(News{Valid: true, Build: 11, Phase: OnTrial, Cap: share})
+			}
+			p, id := chance.Intn(2), TransactionID(fmt.Sprint("o", i))
+			taken[0], taken[p+1] = append(taken[0], b.now), append(taken[p+1], b.now)
+			b.see(b.s.Arrive(b.now, Transaction{ID: id, Profile: ProfileID(p), Account: NoAccount, Key: next(), Limit: b.now + second}))
 			for _, r := range b.last.Rulings {
 				if r.Kind != HandOff {
 					continue
 				}
-				if trialWorker(r.Worker) {
-					sent = append(sent, seen{b.now, p})
-				}
-				b.see(b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: r.Worker, Closed: true, Took: 1, Load: NoLoad}))
-			}
-			for _, bound := range in {
-				if bound.until < b.now {
+				if b.see(b.s.HandOffEnded(b.now, HandOffEnd{Transaction: id, Worker: r.Worker, Closed: true, Took: 1, Load: NoLoad})); !trialWorker(r.Worker) {
 					continue
 				}
-				count := func(of []seen) (n float64) {
-					for _, x := range of {
-						n += one(x.at > max(from, b.now-bound.window) && (x.p == p || !bound.byProfile))
+				sent[0], sent[p+1] = append(sent[0], b.now), append(sent[p+1], b.now)
+				for _, x := range in {
+					row := int(one(x.byProfile)) * (1 + p)
+					n, of := since(sent[row], max(from, b.now-x.window)), since(taken[row], b.now-x.window)
+					if x.until >= b.now && float64(n) > x.free+share*float64(of) {
+						t.Fatalf("transaction %d: %d sent to the trial of %d taken, bound %+v", i, n, of, x)
 					}
-					return n
-				}
-				if n := count(sent); len(sent) > 0 && sent[len(sent)-1].at == b.now && n > bound.free+0.5*count(taken) {
-					t.Fatalf("%v sent to the trial of %v taken, bound %+v", n, count(taken), bound)
 				}
 			}
 		}
-		if len(sent) < 30 {
-			t.Fatalf("only %d sent to the trial: this says nothing", len(sent))
+		if len(sent[0]) < 30 {
+			t.Fatalf("only %d sent to the trial: this says nothing", len(sent[0]))
 		}
 	})
 }
-
-// What is open ends under the profile that it came with; what comes after the switch is under the new one.
-func TestOpenOnesKeepTheirProfile(t *testing.T) {
-	b := newStand(8, 0)
-	o := b.s.orders
-	o.MostHandOffs = 3
-	b.see(b.s.Ordered(b.now, o))
-	come := func(id TransactionID) HandOffEnd {
-		b.see(b.s.Arrive(b.now, Transaction{ID: id, Profile: 1, Account: NoAccount, Key: Key(id), Limit: b.now + second}))
-		return HandOffEnd{Transaction: id, Worker: b.last.Rulings[0].Worker, Ending: Errored, Took: 5_000, Load: NoLoad}
-	}
-	end := come("first") // irreversible
-	o.Profiles = slices.Clone(o.Profiles)
-	o.Profiles[1].Repeat = Redoable
-	o.Profiles = append(o.Profiles, Profile{DueTime: second, OuterLimit: 2 * second, Value: 1})
-	b.see(b.s.Ordered(b.now, o))
-	if b.see(b.s.HandOffEnded(b.now, end)); len(b.last.Rulings) != 1 || b.last.Rulings[0].Kind != WriteOff {
-		t.Errorf("irreversible when it came: %+v, expected a write-off", b.last.Rulings)
-	}
-	if b.see(b.s.HandOffEnded(b.now, come("second"))); len(b.last.Rulings) != 1 || b.last.Rulings[0].Kind != HandOff {
-		t.Errorf("redoable by the new orders: %+v, expected another hand-off", b.last.Rulings)
-	}
-	b.see(b.s.Arrive(b.now, Transaction{ID: "third", Profile: 2, Account: NoAccount, Key: "x", Limit: b.now + second}))
-	if len(b.last.Rulings) != 1 || b.last.Rulings[0].Kind != HandOff {
-		t.Errorf("of a profile that came with the new orders: %+v", b.last.Rulings)
-	}
-}
