--- a/internal/sentry/rig_test.go
+++ b/internal/sentry/rig_test.go
@@ -162,7 +162,7 @@
 	}
 	r := &rig{t: t, log: &logBuffer{}, rulings: map[logic.RulingKind]int{}}
 	o := &logic.StandingOrders{StageCaps: []float64{0.5, 1}, StageShares: []float64{0.5, 1}, VotesPerSecond: 100,
-		VoteLife: 2_000_000, OnVotes: 1, BackVotes: 1, Bake: 1_000_000, FallMultiple: 4, FallSpan: 1_000_000,
+		VoteLife: 2_000_000, OnVotes: 1, BackVotes: 1, Bake: 1_000_000, FallMultiple: 4, FallSpan: 1_000_000, CountsEvery: 200_000, CountsShare: 0.5,
 		Profiles: []logic.Profile{{DueTime: 200_000, OuterLimit: 600_000},
 			{DueTime: 200_000, OuterLimit: 600_000, Repeat: logic.Labelled, Window: 500_000},
 			{DueTime: 200_000, OuterLimit: 600_000, Repeat: logic.Irreversible}}}
