Watches reopen within the clock of silence; outdated calls are dropped in order

- services.go gave a silent watch up after 5 s, and the module asks again 0.25 to 0.75 s later, so that with 2 s in discovery's queue the answer came up to 7.75 s after the last line; lists count as told 6 s after the silence began.
Now after one sign of life and a little more, 2.25 to 3.25 s, drawn for each call since all watches may fall silent at once: the answer is there by 6 s.
The same clock holds from the call on, and only whole lines or objects start it anew (a trickling line does not).
- A watch that had passed its check could report after a reload had moved on, and set list and version back.
Each call is now judged by the loop in its turn (takes): outdated calls and versions older than the one taken are dropped there.
The state of discovery belongs to the loop; its mutex is gone.
- SIGHUP while no watch stood waited for the module's next call, and asked the new address from the old one's version: the move now asks at once for all of it.
- An indented list was taken for noise; read as one object, in bounds.
A version that goes back, an unknown state, no id or no address: nothing of the list is taken, the watch is opened anew, with all of the list where versions went back.
- A list asked for once was reported as refused after it had been read whole.
- Where lists are pushed nobody opened a watch on the platform, and a reload to pushed lists asked the frames' upstream.
- Tries to reach the control plane grow with jitter.

Ruled out: two SIGHUPs at once (the file is read after the signal, the second read sees the newest); a reload after the end (Inspect returns, the old one stays).

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -162,6 +162,9 @@
 		if !ok {
 			return nil, fmt.Errorf("target %s: found state %q, expected active, leaving or left", x.UID, x.State)
 		}
+		if _, _, err := net.SplitHostPort(x.Endpoint); x.UID == "" || err != nil && state != pb.Line_GONE {
+			return nil, fmt.Errorf("target %q: found endpoint %q, expected an id and an address with a port", x.UID, x.Endpoint)
+		}
 		line := &pb.Line{Id: x.UID, Address: x.Endpoint, Build: x.Release, Zone: x.AZ, Cell: x.PodGroup, Size: x.Hint,
 			State: state, Life: uint64(x.BootMS)<<20 ^ uint64(x.Release)} // another build is another life
 		if x.BootMS > 0 {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -75,6 +75,7 @@
 	if n := p.post.Load().News; n != nil {
 		p.sentry.Told(n)
 	}
+	p.discovery.keep(p.post.Load())
 	go p.desk.run()
 	go p.peers.run()
 }
@@ -111,8 +112,12 @@
 		}
 	}
 	p.post.Store(now)
-	p.discovery.move(now.Discovery)
 	p.desk.move(now.Desk)
+	p.sentry.Inspect(func() {
+		if p.discovery.keep(now); !p.over() {
+			p.discovery.move(now.Discovery)
+		}
+	})
 	return nil
 }
 
--- a/internal/platform/services.go
+++ b/internal/platform/services.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -23,7 +25,7 @@
 
 const (
 	reachMost  = time.Second            // to connect to a service
-	quietMost  = 5 * time.Second        // discovery sends a line every 2 s
+	lifeEvery  = 2 * time.Second        // discovery says so often on a watch that it is there
 	lifeMost   = 3 * time.Second        // the desk a sign of life every second
 	pauseLeast = 100 * time.Millisecond // between tries
 	pauseMost  = 800 * time.Millisecond
@@ -31,55 +33,111 @@
 	mostLine   = 8 << 10 // bytes of a line of the desk
 )
 
-// discovery asks for the list.
+// quietMost is how long a call may say nothing whole. What a watch misses counts as told 6 s after it fell silent, and by
+// then the next call has to be made, to have waited its turn for up to 2 s, and to be answered: so the time is little more
+// than one sign of life. It is drawn for each call, since all watches may fall silent at once.
+func quietMost() time.Duration { return lifeEvery + lifeEvery/8 + rand.N(lifeEvery/2) }
+
+// discovery asks for the list. Its fields belong to the loop, which also judges each report in its turn (takes): what an
+// outdated call has told, or a version older than the one at hand, is dropped there.
 type discovery struct {
 	p       *Platform
 	client  http.Client
-	mu      sync.Mutex
 	address string
-	cancel  context.CancelFunc // of the watch, nil if there is none
-	round   int
+	pushed  bool          // lists are pushed: a watch stands without being asked for
+	watch   *call         // nil if there is none
+	moves   int           // to other addresses
+	told    uint64        // the newest version taken from this address
+	afresh  bool          // the next watch asks for all of the list
+	pause   time.Duration // before a pushed watch is opened again
+}
+
+// call is one question to discovery and what comes of it.
+type call struct {
+	watch  bool
+	moves  int
+	since  uint64
+	afresh bool // nothing was taken from it yet, and it asked for all: any version goes
+	back   bool // its versions went back
+	cancel context.CancelFunc
 }
 
 func newDiscovery(p *Platform, address string) *discovery {
 	return &discovery{p: p, address: address, client: http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: reachMost}).DialContext, DisableKeepAlives: true,
-		ResponseHeaderTimeout: quietMost, ReadBufferSize: 4 << 10, WriteBufferSize: 1 << 10}}}
+		ReadBufferSize: 4 << 10, WriteBufferSize: 1 << 10}}}
 }
 
-// ask asks for the whole list once or sees to it that a watch stands.
-func (d *discovery) ask(follow bool, since uint64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.p.over() || follow && d.cancel != nil {
+// ask asks for the whole list once or sees to it that a watch stands. It is called on the loop, as are all but read.
+func (d *discovery) ask(watch bool, since uint64) {
+	if d.p.over() || watch && d.watch != nil {
 		return
 	}
 	url := "http://" + d.address + "/api/targets"
 	ctx, cancel := context.WithCancel(context.Background())
-	if follow {
+	c := &call{watch: watch, moves: d.moves, cancel: cancel}
+	if watch {
+		if d.afresh {
+			since = 0
+		}
+		c.since, c.afresh, d.afresh, d.watch = since, since == 0, false, c
 		url += "?watch=1&from=" + strconv.FormatUint(since, 10)
-		d.cancel = cancel
-		d.round++
 	}
-	round := d.round
 	go func() {
 		defer cancel()
-		err := d.read(ctx, cancel, url, since)
-		d.mu.Lock()
-		current := follow && round == d.round
-		if current {
-			d.cancel = nil
-		}
-		d.mu.Unlock()
-		if (current || !follow && err != nil) && !d.p.over() {
+		if err := d.read(ctx, c, url); err != nil && !d.p.over() {
 			d.p.log.Warn().Err(err).Msg("discovery")
-			d.p.sentry.Reported(&pb.Report{Refused: true})
+			d.tell(c, &pb.Report{Refused: true})
 		}
 	}()
 }
 
-// read takes lists until the answer ends. An empty line says that nothing has changed.
-func (d *discovery) read(ctx context.Context, cancel func(), url string, since uint64) error {
+// tell has the loop take what a call has brought, unless it is outdated by then.
+func (d *discovery) tell(c *call, m *pb.Report) {
+	d.p.sentry.Reported(m, func() bool { return d.takes(c, m) })
+}
+
+// takes says whether the loop is to take a report now.
+func (d *discovery) takes(c *call, m *pb.Report) bool {
+	switch {
+	case c.moves != d.moves || c.watch && c != d.watch: // gone on from
+		return false
+	case m.Refused && c.watch:
+		d.watch, d.afresh = nil, d.afresh || c.back
+		d.again()
+		return true
+	case m.Refused:
+		return true
+	case m.Version < d.told && !c.afresh: // a later call has told more
+		return false
+	}
+	d.told, c.afresh, d.pause = m.Version, false, 0
+	return true
+}
+
+// keep sees to it that a watch stands where the settings have lists pushed.
+func (d *discovery) keep(post *Post) {
+	if d.pushed = !post.Sheet.Standing.AskForList; d.pushed {
+		d.ask(true, 0)
+	}
+}
+
+// again opens a pushed watch anew after a while: the module asks for others.
+func (d *discovery) again() {
+	if !d.pushed {
+		return
+	}
+	d.pause = min(max(2*d.pause, pauseLeast), pauseMost)
+	since := d.told
+	time.AfterFunc(d.pause/2+rand.N(d.pause), func() {
+		d.p.sentry.Inspect(func() { d.ask(true, since) })
+	})
+}
+
+// read takes lists until the answer ends. A blank line between them says that nothing has changed.
+func (d *discovery) read(ctx context.Context, c *call, url string) error {
+	quiet := time.AfterFunc(quietMost(), c.cancel)
+	defer quiet.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -92,30 +150,66 @@
 	if answer.StatusCode != http.StatusOK {
 		return fmt.Errorf("found status %d, expected 200", answer.StatusCode)
 	}
-	quiet := time.AfterFunc(quietMost, cancel)
-	defer quiet.Stop()
-	lines := bufio.NewReader(answer.Body)
+	lines, since := bufio.NewReader(answer.Body), c.since
 	for {
-		line, err := readLine(lines, mostList)
-		if err != nil && len(line) == 0 {
+		text, err := readObject(lines, mostList)
+		if err != nil {
 			return err
 		}
-		quiet.Reset(quietMost)
 		m := &pb.Report{Version: since}
-		if line = bytes.TrimSpace(line); len(line) > 0 {
+		if len(text) > 0 {
 			var t targets
-			if err := json.Unmarshal(line, &t); err != nil {
+			if err := json.Unmarshal(text, &t); err != nil {
 				return err
 			}
 			if m, err = t.report(time.Now()); err != nil {
 				return err
 			}
+			if m.Version < since {
+				c.back = true
+				return fmt.Errorf("found version %d after %d, expected none that goes back", m.Version, since)
+			}
 			since = m.Version
 		}
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if !quiet.Reset(quietMost()) {
+			return context.Canceled
+		}
+		d.tell(c, m)
+		if !c.watch {
+			return nil
+		}
+	}
+}
+
+// readObject reads one JSON object, on one line or indented over several, in bounds. A blank line before it is given as
+// nothing.
+func readObject(r *bufio.Reader, most int) (text []byte, err error) {
+	depth, quoted, escaped := 0, false, false
+	for {
+		line, err := readLine(r, most-len(text))
+		if err != nil && (len(line) == 0 || !errors.Is(err, io.EOF)) {
+			if len(text) > 0 && errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		for _, b := range line {
+			switch {
+			case escaped:
+				escaped = false
+			case quoted:
+				escaped, quoted = b == '\\', b != '"'
+			case b == '"':
+				quoted = true
+			case b == '{' || b == '[':
+				depth++
+			case b == '}' || b == ']':
+				depth--
+			}
+		}
+		if text = append(text, line...); depth <= 0 {
+			return bytes.TrimSpace(text), nil
 		}
-		d.p.sentry.Reported(m)
 	}
 }
 
@@ -133,27 +227,20 @@
 	}
 }
 
-// move goes on at another address, with the watch if one stands.
+// move goes on at another address, and asks for all there: what was told may be in no order with what that one tells.
 func (d *discovery) move(address string) {
-	d.mu.Lock()
-	same, follow := d.address == address, d.cancel != nil
-	d.address = address
-	if follow && !same {
-		d.cancel()
-		d.cancel = nil
-		d.round++
-	}
-	d.mu.Unlock()
-	if follow && !same {
-		d.ask(true, 0) // all of it: what was told may be in no order with what that address tells
+	if d.address == address {
+		return
 	}
+	d.close()
+	d.address, d.watch, d.told, d.afresh = address, nil, 0, true
+	d.moves++
+	d.ask(true, 0)
 }
 
 func (d *discovery) close() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.cancel != nil {
-		d.cancel()
+	if d.watch != nil {
+		d.watch.cancel()
 	}
 }
 
@@ -183,7 +270,7 @@
 		case <-d.p.done:
 		case <-d.wake:
 			pause = 0
-		case <-time.After(pause):
+		case <-time.After(pause/2 + rand.N(pause+1)):
 		}
 	}
 }
--- a/internal/sentry/ends.go
+++ b/internal/sentry/ends.go
@@ -150,8 +150,11 @@
 // MostSaid bounds a message between sentries, in bytes.
 const MostSaid = 256
 
-// Reported hears a list or what has changed of it, or that it was refused.
-func (s *Sentry) Reported(m *pb.Report) { s.inbox.put(&event{kind: evReport, report: m}, true) }
+// Reported hears a list or what has changed of it, or that it was refused. When its turn comes, the loop asks whether it is
+// still to be taken: what has told it may be outdated by then.
+func (s *Sentry) Reported(m *pb.Report, takes func() bool) {
+	s.inbox.put(&event{kind: evReport, report: m, takes: takes}, true)
+}
 
 // Told hears the platform's news.
 func (s *Sentry) Told(m *pb.News) { s.inbox.put(&event{kind: evNews, news: m}, true) }
--- a/internal/sentry/inbox.go
+++ b/internal/sentry/inbox.go
@@ -75,6 +75,7 @@
 	way      Way
 	err      error
 	report   *pb.Report
+	takes    func() bool // whether the report is to be taken, nil if it always is
 	news     *pb.News
 	counts   *pb.Counts
 	call     func()
--- a/internal/sentry/routing.go
+++ b/internal/sentry/routing.go
@@ -138,7 +138,7 @@
 	s.routing.Store(newRouting(sheet))
 	s.tell(input.Input{Kind: input.Ordered, Orders: s.orders})
 	if s.list.keep = !s.orders.AskForList; asked && s.list.keep {
-		s.askList(true)
+		s.ends.Ask(true, s.book.version)
 	}
 	return nil
 }
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -380,7 +380,9 @@
 	case evUpLost:
 		s.upLost(e.up, e.link, e.err)
 	case evReport:
-		s.reported(e.report)
+		if e.takes == nil || e.takes() {
+			s.reported(e.report)
+		}
 	case evNews:
 		s.told(e.news)
 	case evPeer:
