No attempt for a client that has closed; connections rest after an answer

- workers.go, handOff and sendWaiting: a client's close is known to the poller at once and to the loop only in its turn.
With the loop busy, what waited in the inbox (also the command behind the first), in the module or for a connection was written after the close.
Both now look whether the client's connection is dead, and the module hears that the client has left.
- A second copy of an answer some milliseconds after it, with the next attempt written by then, was served as that one's answer.
A connection rests after an answer for an eighth of the time to connect (31 ms with the settings tried; the part the module counts as "at once"); what is patient waits for it, what is not gets another connection, so none are added.
- known(): a connection that came up to an address which its worker has left carried the next attempt there; and what waited for a connection while the id came back with another build was written under a ruling for the earlier one, behind the module's count of exposure.
It is given back unsent; idle connections to the old address close at once.

--- /dev/null
+++ b/internal/platform/rare_test.go
@@ -0,0 +1,191 @@
+package platform
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"scalechute/internal/input"
+	"scalechute/internal/wire/pb"
+	"scalechute/logic"
+)
+
+// toFirst hands each transaction off to one worker, after a look at what has come.
+func toFirst(look func(in *input.Input)) func(*input.Input) logic.Result {
+	return func(in *input.Input) (out logic.Result) {
+		look(in)
+		if in.Kind == input.TransactionCame {
+			out.Rulings = []logic.Ruling{{Kind: logic.HandOff, Transaction: in.Transaction.ID, Worker: "w0"}}
+		}
+		return out
+	}
+}
+
+// nobodyBooked says that all clients have gone, as the poller sees it.
+func (r *rig) nobodyBooked() bool {
+	r.p.mu.Lock()
+	defer r.p.mu.Unlock()
+	return len(r.p.callers) == 0
+}
+
+// No attempt begins after its client has closed, though the loop has yet to hear of it: while the request, and one behind it
+// on the same connection, waits in the inbox; as the module rules; and as the connection for it comes up.
+func TestClientGoneBeforeTheLoopHears(t *testing.T) {
+	var got sync.Map
+	at := worker(t, func(c net.Conn, n int, words []string) {
+		got.Store(words[2], true)
+		good(c, n, words)
+	})
+	none := func(t *testing.T, r *rig, ids ...string) {
+		t.Helper()
+		r.wait("the ends of all attempts", func() bool { return len(r.ends) == r.rulings[logic.HandOff] })
+		c := r.dial(t)
+		c.say(read("after"))
+		c.want("v-after")
+		for _, id := range ids {
+			if _, sent := got.Load(id); sent {
+				t.Errorf("%s was sent on after its client had closed", id)
+			}
+		}
+	}
+	t.Run("in the inbox", func(t *testing.T) {
+		r := newRig(t, plan{workers: []string{at}, decide: toFirst(func(*input.Input) {})})
+		c := r.dial(t)
+		c.say(read("first")) // a connection stands
+		c.want("v-first")
+		time.Sleep(50 * time.Millisecond)
+		gate := make(chan struct{})
+		go r.s.Inspect(func() { <-gate })
+		c.say(read("inbox-a") + read("inbox-b"))
+		r.wait("both commands", func() bool { r.p.mu.Lock(); defer r.p.mu.Unlock(); return len(r.p.ids) == 2 })
+		c.Close()
+		r.wait("the close", r.nobodyBooked)
+		close(gate)
+		none(t, r, "inbox-a", "inbox-b")
+	})
+	t.Run("as the module rules", func(t *testing.T) {
+		came, gate := make(chan struct{}), make(chan struct{})
+		n := 0
+		r := newRig(t, plan{workers: []string{at}, decide: toFirst(func(in *input.Input) {
+			if in.Kind == input.TransactionCame {
+				if n++; n == 2 {
+					close(came)
+					<-gate
+				}
+			}
+		})})
+		c := r.dial(t)
+		c.say(read("standing"))
+		c.want("v-standing")
+		time.Sleep(50 * time.Millisecond)
+		c.say(read("ruled"))
+		<-came
+		c.Close()
+		r.wait("the close", r.nobodyBooked)
+		close(gate)
+		none(t, r, "ruled")
+	})
+	t.Run("as its connection comes up", func(t *testing.T) {
+		var r *rig
+		gate, ready, built := make(chan struct{}), make(chan struct{}), make(chan struct{})
+		n := 0
+		r = newRig(t, plan{workers: []string{at}, decide: toFirst(func(in *input.Input) {
+			if in.Kind == input.TransactionCame {
+				<-built
+				if n++; n == 1 { // before the connection is told of
+					go r.s.Inspect(func() { close(ready); <-gate })
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		})})
+		close(built)
+		c := r.dial(t)
+		c.say(read("dialled"))
+		<-ready
+		time.Sleep(50 * time.Millisecond) // the connection stands, of which the loop hears next
+		held, after := make(chan struct{}), make(chan struct{})
+		go r.s.Inspect(func() { close(held); <-after })
+		time.Sleep(20 * time.Millisecond)
+		close(gate)
+		<-held // it has greeted the worker, and hears of its welcome before it hears of the close
+		c.Close()
+		r.wait("the close", r.nobodyBooked)
+		close(after)
+		none(t, r, "dialled")
+	})
+}
+
+// A worker that comes back under its id with another address or build: what waits for a connection to it is given back to
+// the module unsent, and a connection that comes up to where it was carries nothing.
+func TestWorkerComesBackElsewhere(t *testing.T) {
+	var old atomic.Int64
+	was := worker(t, func(c net.Conn, n int, words []string) {
+		old.Add(1)
+		good(c, n, words)
+	})
+	is := worker(t, good)
+	for name, line := range map[string]*pb.Line{"address": {Id: "w0", Address: is, Build: 7, Size: 1}, "build": {Id: "w0", Address: was, Build: 8, Size: 1}} {
+		var r *rig
+		ready, n := make(chan struct{}), 0
+		r = newRig(t, plan{workers: []string{was}, decide: toFirst(func(in *input.Input) {
+			if in.Kind == input.TransactionCame {
+				if <-ready; n == 0 { // it is told while a connection is dialled
+					r.s.Reported(&pb.Report{Version: 50, Lines: []*pb.Line{line}}, nil)
+				}
+				n++
+			}
+		})})
+		close(ready)
+		c := r.dial(t)
+		c.say(read("a"))
+		r.wait(name+": the attempt given back", func() bool { return r.ended(logic.Unsent) == 1 })
+		time.Sleep(50 * time.Millisecond)
+		c.Close()
+		if c = r.dial(t); name == "address" {
+			c.say(read("b"))
+			c.want("v-b")
+		}
+		if n := old.Load(); n != 0 {
+			t.Errorf("%s: %d attempts where the worker was, expected none", name, n)
+		}
+	}
+}
+
+// A second copy of an answer that comes as the next attempt could be written is not taken for that one's answer: a
+// connection rests after an answer, and what can't wait goes to another one.
+func TestSecondCopyComesLate(t *testing.T) {
+	at := listen(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for before := ""; ; {
+			words, err := readCommand(in)
+			if err != nil {
+				return
+			}
+			io.WriteString(c, before) // once more what was answered before
+			before = answer("v-" + words[2])
+			io.WriteString(c, before)
+		}
+	})
+	r := newRig(t, plan{workers: []string{at}, other: []string{`"connect_timeout_ns":250000000`, `"connect_timeout_ns":8000000000`}})
+	c := r.dial(t)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		c.say(move(id))
+		c.want("v-" + id)
+	}
+	r.wait("the answers", func() bool { return r.ended(logic.Answered) == 4 })
+}
+
+// What waits for the only connection that there may be is sent once it has rested.
+func TestRested(t *testing.T) {
+	r := newRig(t, plan{workers: []string{worker(t, good)}, decide: toFirst(func(*input.Input) {})})
+	r.s.Inspect(func() { r.p.post.Load().Sheet.Bounds.Connections = 1 })
+	c := r.dial(t)
+	c.say(read("a") + read("b") + read("c"))
+	for _, id := range []string{"a", "b", "c"} {
+		c.want("v-" + id)
+	}
+}
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -295,6 +295,9 @@
 		s.sweep()
 	case timeSave:
 		s.save()
+	case timeRested:
+		t.worker.restDue = 0
+		s.sendWaiting(t.worker)
 	}
 }
 
--- a/internal/sentry/timers.go
+++ b/internal/sentry/timers.go
@@ -12,6 +12,7 @@
 	timeRedial
 	timeSweep
 	timeSave
+	timeRested // a connection to a worker has rested
 )
 
 // timer is due at a time. A transaction has one, which moves with what is due next and goes with the transaction, so
@@ -24,6 +25,8 @@
 	up   *upstream
 	conn *conn
 	id   uint64
+
+	worker *worker
 }
 
 // timers is a heap; container/heap would allocate for each.
--- a/internal/sentry/upstream.go
+++ b/internal/sentry/upstream.go
@@ -173,8 +173,9 @@
 		s.log.Warn().Int("lines", refused).
 			Msg("lines of the list passed over, expected an id and a size that is a finite number")
 	}
+	var stale []waiting
 	for _, in := range list {
-		s.known(in)
+		stale = append(stale, s.known(in)...)
 	}
 	if m.Whole { // what it does not name is gone
 		s.metrics.lists.Inc()
@@ -185,23 +186,41 @@
 		}
 	}
 	s.tell(input.Input{Kind: input.ListCame, ListKind: kind, List: list})
+	for _, x := range stale {
+		if x.open() {
+			s.handOffEnds(x.t, x.n, logic.Unsent, logic.NoLoad)
+		}
+	}
 	s.saveSoon()
 }
 
-// known keeps where a listed worker is reached. One that is gone stays known, for what is out there.
-func (s *Sentry) known(in logic.Worker) {
+// known keeps where a listed worker is reached. One that is gone stays known, for what is out there. What waits for a
+// connection to it while it comes back with another build or address was ruled for another: it is given back.
+func (s *Sentry) known(in logic.Worker) (stale []waiting) {
 	w := s.workers[in.ID]
 	if w == nil {
-		w = &worker{id: in.ID}
+		w = &worker{id: in.ID, line: in, since: s.now}
 		s.workers[in.ID] = w
 	}
-	if address := s.book.address(in.ID); address != "" && address != w.address {
-		w.address, w.conns = address, nil // those that are open lead elsewhere; they close when they are idle
+	address := s.book.address(in.ID)
+	if moved := address != "" && address != w.address; moved || in.Build != w.line.Build {
+		stale, w.waiting = w.waiting, nil
+		if moved { // what is open leads elsewhere: it closes once it is idle
+			old := w.conns
+			w.address, w.conns = address, nil
+			for _, c := range old {
+				if c.spare() {
+					c.link.Close(wire.ErrClosed)
+					s.connLost(c)
+				}
+			}
+		}
 	}
 	if w.line.State != in.State {
 		w.since = s.now
 	}
 	w.line = in
+	return stale
 }
 
 // The desk.
--- a/internal/sentry/workers.go
+++ b/internal/sentry/workers.go
@@ -21,7 +21,8 @@
 	since   logic.Micros // in this state
 	conns   []*conn
 	dials   int
-	waiting []waiting // the earliest first
+	waiting []waiting    // the earliest first
+	restDue logic.Micros // of the timer for connections that rest
 	probes  uint64
 }
 
@@ -34,13 +35,15 @@
 
 // conn is a connection to a worker. A hand-off's id on it names its slot.
 type conn struct {
-	worker *worker
-	link   Way
-	slots  []slot
-	free   []int
-	seq    uint64
-	used   logic.Micros
-	lost   bool
+	worker   *worker
+	address  string // that it leads to
+	link     Way
+	slots    []slot
+	free     []int
+	seq      uint64
+	used     logic.Micros
+	answered logic.Micros // when the last answer came, 0 if none has
+	lost     bool
 
 	welcome bool // by the worker: it may carry hand-offs
 }
@@ -64,7 +67,7 @@
 	if h.until <= 0 {
 		h.until = t.limit
 	}
-	if t.closed || w == nil || h.until <= s.now || n >= s.orders.MostHandOffs {
+	if s.leaving(t); t.closed || w == nil || h.until <= s.now || n >= s.orders.MostHandOffs {
 		s.handOffEnds(t, n, logic.Unsent, logic.NoLoad)
 		return
 	}
@@ -72,23 +75,64 @@
 	if !s.send(w, t, n) {
 		w.waiting = append(w.waiting, waiting{t, t.gen, n})
 		s.dial(w)
+		s.rested(w)
 		s.alarm(t)
 	}
 }
 
+// leaving closes a transaction whose client has closed its connection, of which the loop has yet to hear: what is written
+// for it from now on would begin after its client has gone.
+func (s *Sentry) leaving(t *transaction) {
+	if !t.closed && t.client.link.Dead() {
+		s.clientLeft(t)
+	}
+}
+
+// restShare is the part of the time to connect for which a connection rests after an answer, where answers come in order: a
+// worker may send a second copy of one some milliseconds later, and it must not be taken for the next one's.
+const restShare = 8
+
+// rests says until when a connection gets nothing new, 0 if it does not rest.
+func (s *Sentry) rests(c *conn) logic.Micros {
+	if until := c.answered + s.orders.ConnectLimit/restShare; s.ends.Ordered() && c.answered > 0 && c.idle() && until > s.now {
+		return until
+	}
+	return 0
+}
+
+// rested has what waits for a worker sent once the first of its connections that rest is good again.
+func (s *Sentry) rested(w *worker) (soon bool) {
+	first := logic.Micros(0)
+	for _, c := range w.conns {
+		if until := s.rests(c); until > 0 && !c.lost && (first == 0 || until < first) {
+			first = until
+		}
+	}
+	if first > 0 && first != w.restDue {
+		w.restDue = first
+		s.timers.add(timer{due: first, kind: timeRested, worker: w})
+	}
+	return first > 0
+}
+
 // pick chooses a connection that has room, of those not tried: one with nothing out, or else the least; among equals the
 // one that has rested longest, for the worker may be about to close one after its last answer. Where a hand-off should
-// have a connection of its own and another is or may be opened, there is none.
+// have a connection of its own and another is or may be opened, or will have rested soon, there is none.
 func (s *Sentry) pick(w *worker, tried []*conn) (best *conn) {
+	resting := false
 	for _, c := range w.conns {
 		if len(c.free) == 0 || c.lost || slices.Contains(tried, c) {
 			continue
 		}
+		if s.rests(c) > 0 {
+			resting = true
+			continue
+		}
 		if best == nil || len(c.free) > len(best.free) || len(c.free) == len(best.free) && c.used < best.used {
 			best = c
 		}
 	}
-	if best != nil && !best.idle() && s.ends.Ordered() && (w.dials > 0 || s.mayOpen(w)) {
+	if best != nil && !best.idle() && s.ends.Ordered() && (resting || w.dials > 0 || s.mayOpen(w)) {
 		return nil
 	}
 	return best
@@ -148,10 +192,17 @@
 
 // dial opens a connection for those that wait, unless enough are being opened or are open.
 func (s *Sentry) dial(w *worker) {
-	want := 0
+	want, patient := 0, 0
+	rest := s.orders.ConnectLimit / restShare
 	for _, x := range w.waiting {
 		if x.open() {
 			want++
+			patient += map[bool]int{true: 1}[x.t.sends[x.n].until-s.now > 2*rest]
+		}
+	}
+	for _, c := range w.conns {
+		if patient > 0 && s.rests(c) > 0 { // it will do soon
+			want, patient = want-1, patient-1
 		}
 	}
 	if w.dials*s.perDial() >= want || !s.mayOpen(w) {
@@ -165,7 +216,7 @@
 	s.metrics.dials.Inc()
 	address, limit := w.address, span(s.orders.ConnectLimit)
 	go func() {
-		c := &conn{worker: w}
+		c := &conn{worker: w, address: address}
 		way, err := s.ends.Dial(WayEar{s, c}, address, limit)
 		s.inbox.put(&event{kind: evDialed, worker: w, conn: c, way: way, err: err}, false)
 	}()
@@ -208,15 +259,23 @@
 		c.free = append(c.free, i)
 	}
 	w.dials--
-	w.conns = append(w.conns, c)
+	if c.address != w.address { // its worker has another one by now
+		c.link.Close(wire.ErrClosed)
+		s.connLost(c)
+	} else {
+		w.conns = append(w.conns, c)
+	}
 	s.sendWaiting(w)
 }
 
 // unreached ends the hand-offs for which a connection could not be had.
 func (s *Sentry) unreached(w *worker) {
 	w.dials--
-	// Those that this connection was for have none; the rest wait for the other dials.
+	// Those that this connection was for have none; the rest wait for the other dials, or for connections that rest.
 	bound := w.dials * s.perDial()
+	if s.rested(w) {
+		bound = len(w.waiting)
+	}
 	var left, over []waiting
 	for _, x := range w.waiting {
 		switch {
@@ -240,9 +299,11 @@
 	for len(w.waiting) > 0 {
 		x := w.waiting[0]
 		if x.open() {
-			if x.t.closed {
+			if x.t.closed || x.t.client.link.Dead() {
 				w.waiting = w.waiting[1:]
-				s.handOffEnds(x.t, x.n, logic.Unsent, logic.NoLoad)
+				if s.leaving(x.t); x.open() { // the module may have cancelled it
+					s.handOffEnds(x.t, x.n, logic.Unsent, logic.NoLoad)
+				}
 				continue
 			}
 			if !s.send(w, x.t, x.n) {
@@ -255,6 +316,7 @@
 		w.waiting = nil
 	} else {
 		s.dial(w)
+		s.rested(w)
 	}
 }
 
@@ -345,7 +407,7 @@
 		s.metrics.lateEnds.Inc()
 		return
 	}
-	c.used = s.now
+	c.used, c.answered = s.now, s.now
 	t := x.t
 	ending := [...]logic.Ending{logic.Answered, logic.Errored, logic.TurnedAway}[e.ended]
 	if ending == logic.Answered && !t.closed {
