Clients' connections close on the poller; signals are taken from the first line on

- door.go: the idle look, the bound on clients and the drain marked a connection closing and shut it down, while the poller might have read a command and not handled it, or read one after the shutdown: it was dropped without an answer.
These closes now run in a turn of their own on the poller (wire.OnPoller, an eventfd): what was read is in the queue there, a look at the socket tells what was not, and the descriptor closes at once, so that what comes later is never read and its sender sees that.
A command that crosses is answered, and the connection closes after it; one in part gets its time.
- The bound on clients closed the longest idle one over a command that stood unread; it takes the next one.
- The end after SIGTERM came once no client was booked, with one perhaps accepted by the system and not here.
The listener is shut down only after a turn in which none came; new connections are refused from then on, not closed without an answer.
- platform.go of cmd: a SIGHUP before the configuration was read ended the process.
Signals are asked for before all else.

--- a/cmd/scalechute/platform.go
+++ b/cmd/scalechute/platform.go
@@ -19,6 +19,10 @@
 // servePlatform runs one sentry as the platform's environment says, until SIGTERM and what is owed then. Metrics, the file
 // of the last list and watched files are off: the platform has no room for them.
 func servePlatform(level string) error {
+	// Before all else: one that comes while the sentry starts is taken once it stands.
+	signals, hangups := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hangups, syscall.SIGHUP)
 	file := os.Getenv("EDGE_CONFIG")
 	if file == "" {
 		return errors.New("EDGE_CONFIG: found nothing, expected the name of the configuration's file")
@@ -35,9 +39,6 @@
 	debug.SetMemoryLimit(post.MemoryMB << 20 * 6 / 10)
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
 	log := zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sentry", post.Name).Logger()
-	signals, hangups := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(hangups, syscall.SIGHUP)
 	ends, err := platform.New(post, log)
 	if err != nil {
 		return err
--- a/internal/platform/door.go
+++ b/internal/platform/door.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -39,7 +40,7 @@
 	used    time.Time
 	begun   time.Time // the command in hand, or the connection where none has come whole
 	spoken  bool      // a whole command has come
-	closing bool
+	closing bool      // what comes is not taken any more
 	scratch []byte
 }
 
@@ -71,41 +72,51 @@
 	return server.Address, nil
 }
 
-// enter books a client, and closes one where there are too many: one that has said nothing, else the longest idle.
+// enter books a client, and closes one where there are too many: one that has said nothing, else the longest idle; never one
+// that has sent something which is not answered, nor one whose answer waits. It runs on the poller.
 func (p *Platform) enter(c *caller) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.callers[c] = struct{}{}
-	if len(p.callers) <= p.post.Load().callers() {
+	over := len(p.callers) > p.post.Load().callers()
+	p.mu.Unlock()
+	if !over {
 		return
 	}
-	var out *caller
-	rank := func(x *caller) (int, time.Time) {
+	type candidate struct {
+		*caller
+		spoken bool
+		used   time.Time
+	}
+	var out []candidate
+	for _, x := range p.booked() {
 		x.mu.Lock()
-		defer x.mu.Unlock()
-		switch {
-		case x.closing || x == c:
-			return 3, x.used
-		case !x.spoken:
-			return 0, x.used
-		case len(x.queue) == 0:
-			return 1, x.used
+		if x != c && !x.closing && len(x.queue) == 0 && (x.begun.IsZero() || !x.spoken) {
+			out = append(out, candidate{x, x.spoken, x.used})
 		}
-		return 2, x.used
+		x.mu.Unlock()
 	}
-	least, since := 3, time.Time{}
-	for x := range p.callers {
-		if r, at := rank(x); r < least || r == least && r < 2 && at.Before(since) {
-			out, least, since = x, r, at
+	slices.SortFunc(out, func(a, b candidate) int {
+		if a.spoken != b.spoken {
+			return map[bool]int{false: -1, true: 1}[a.spoken]
+		}
+		return a.used.Compare(b.used)
+	})
+	for _, x := range out {
+		if x.CloseUnread(wire.ErrClosed, !x.spoken) {
+			return
 		}
 	}
-	if least >= 2 {
-		out = c
-	}
-	out.mu.Lock()
-	out.closing = true
-	out.mu.Unlock()
-	go out.Close(wire.ErrClosed) // its end is booked under the lock that is held here
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	go c.Close(wire.ErrClosed) // it is not on the poller yet
+}
+
+// booked lists the clients.
+func (p *Platform) booked() []*caller {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.callers))
 }
 
 func (p *Platform) leave(c *caller) {
@@ -126,39 +137,53 @@
 	}
 }
 
-// look closes clients that say nothing and, once the sentry is to stop, those with nothing open.
+// look has those clients closed that say nothing and, once the sentry is to stop, those with nothing open; then it stops.
 func (p *Platform) look() {
 	for range p.ticks(lookEvery) {
-		p.mu.Lock()
-		all := make([]*caller, 0, len(p.callers))
-		for c := range p.callers {
-			all = append(all, c)
-		}
-		p.mu.Unlock()
-		drained := p.drained()
-		now := time.Now()
+		all := p.booked()
 		for _, c := range all {
-			c.mu.Lock()
-			empty := len(c.queue) == 0
-			silent := empty && !c.begun.IsZero() && (now.Sub(c.begun) > slowMost || !c.spoken && now.Sub(c.begun) > silentMost)
-			idle := empty && c.begun.IsZero() && (drained || now.Sub(c.used) > idleMost)
-			if drained && empty && !c.spoken {
-				silent = true
-			}
-			out := !c.closing && (silent || idle)
-			c.closing = c.closing || out
-			c.mu.Unlock()
-			if out {
-				c.Close(wire.ErrClosed)
+			if c.idle(time.Now()) {
+				wire.OnPoller(c.part)
 			}
 		}
-		if drained && len(all) == 0 {
-			p.sentry.Stop()
-			return
+		if len(all) == 0 && p.drained() {
+			p.server.CloseListener(func(closed bool) {
+				if closed {
+					p.sentry.Stop()
+				}
+			})
 		}
 	}
 }
 
+// idle says whether a client may be closed if nothing has come of it by then.
+func (c *caller) idle(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closing || len(c.queue) > 0:
+		return false
+	case c.begun.IsZero():
+		return now.Sub(c.used) > idleMost || c.p.drained()
+	case !c.spoken:
+		return now.Sub(c.begun) > silentMost || c.p.drained()
+	}
+	return now.Sub(c.begun) > slowMost
+}
+
+// part closes a client that is idle, on the poller: there a command that was read is in the queue, and one that comes later
+// is not read, so that the client sends it again. One in part, or unread, is given its time.
+func (c *caller) part() {
+	now := time.Now()
+	if !c.idle(now) {
+		return
+	}
+	c.mu.Lock()
+	late := !c.begun.IsZero() && now.Sub(c.begun) > silentMost
+	c.mu.Unlock()
+	c.CloseUnread(wire.ErrClosed, late)
+}
+
 // read takes the commands that have come.
 func (c *caller) read(_ *wire.Link, data []byte) ([]byte, error) {
 	for len(data) > 0 {
@@ -202,10 +227,10 @@
 	if end {
 		c.closing = true
 	}
-	_, part := c.write()
+	_, end = c.write()
 	c.mu.Unlock()
 	c.Flush()
-	if part {
+	if end {
 		c.CloseWhenWritten(wire.ErrClosed)
 	}
 }
@@ -281,19 +306,23 @@
 		r.text = resp.AppendLine(r.text, resp.Fault, "ERR written off")
 	}
 	c.used = time.Now()
-	good, part := c.write()
+	good, end := c.write()
+	idle := len(c.queue) == 0 && !c.closing && c.p.drained()
 	c.mu.Unlock()
 	c.p.mu.Lock()
 	delete(c.p.ids, id)
 	c.p.mu.Unlock()
-	if part {
+	switch {
+	case end:
 		c.CloseWhenWritten(wire.ErrClosed)
+	case idle:
+		c.WhenWritten(func() { wire.OnPoller(c.part) })
 	}
 	return good
 }
 
-// write gives the link the answers whose turn it is, and says whether it is to part then. The lock is held.
-func (c *caller) write() (good, part bool) {
+// write gives the link the answers whose turn it is, and says whether it ends then. The lock is held.
+func (c *caller) write() (good, end bool) {
 	n := 0
 	good = true
 	for n < len(c.queue) && c.queue[n].done {
@@ -302,9 +331,5 @@
 	}
 	c.first += uint64(n)
 	c.queue = slices.Delete(c.queue, 0, n)
-	if len(c.queue) > 0 {
-		return good, false
-	}
-	c.closing = c.closing || c.p.drained()
-	return good, c.closing
+	return good, c.closing && len(c.queue) == 0
 }
--- /dev/null
+++ b/internal/platform/door_test.go
@@ -0,0 +1,170 @@
+package platform
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"scalechute/internal/wire"
+)
+
+// heldPoller holds the poller until the test says so: what comes meanwhile stays in the system, unread and not taken up.
+func heldPoller() (release func()) {
+	held, gate := make(chan struct{}), make(chan struct{})
+	wire.OnPoller(func() { close(held); <-gate })
+	<-held
+	return func() { close(gate) }
+}
+
+// drainedAt has a sentry asked to stop so long ago that clients with nothing open are to go.
+func (r *rig) drainedAt() { r.p.drainAt.Store(time.Now().Add(-stopAfter).UnixMicro()) }
+
+func (r *rig) onlyCaller() *caller {
+	all := r.p.booked()
+	if len(all) != 1 {
+		r.t.Fatalf("%d clients, expected 1", len(all))
+	}
+	return all[0]
+}
+
+// The only client's connection is to be closed as idle just as a command comes on it: the command is answered, and the
+// connection closes after it. It was in the system, unread; in part; or read and in hand.
+func TestCommandCrossesTheClose(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		r := served(t, worker(t, good))
+		c := r.dial(t)
+		c.say(read("a"))
+		c.want("v-a")
+		x := r.onlyCaller()
+		release := heldPoller()
+		wire.OnPoller(x.part)
+		c.say(read("b"))
+		time.Sleep(20 * time.Millisecond)
+		r.drainedAt()
+		if !first {
+			wire.OnPoller(x.part)
+		}
+		release()
+		c.want("v-b")
+		c.want("closed")
+	}
+}
+
+// A command of which a part has come when the sentry is to stop gets its time, at every place where it may be cut.
+func TestPartsCrossTheStop(t *testing.T) {
+	r := newRig(t, plan{sockets: 1024, workers: []string{worker(t, good)}})
+	text := func(at int) string { return move(fmt.Sprintf("m%03d", at)) }
+	clients := make([]testCaller, len(text(0)))
+	for at := 1; at < len(clients); at++ {
+		clients[at] = r.dial(t)
+		clients[at].say(text(at)[:at])
+	}
+	parts := func() (n int) {
+		done := make(chan int)
+		wire.OnPoller(func() { // what has come by now has been read, or will be by the next turn
+			wire.OnPoller(func() { done <- len(r.p.booked()) })
+		})
+		return <-done
+	}
+	r.wait("the parts", func() bool { return parts() == len(clients)-1 })
+	r.drainedAt()
+	time.Sleep(3 * lookEvery)
+	for at := 1; at < len(clients); at++ {
+		clients[at].say(text(at)[at:])
+	}
+	for at := 1; at < len(clients); at++ {
+		if got := clients[at].line(); got != fmt.Sprintf("v-m%03d", at) && !strings.HasPrefix(got, "-BUSY") {
+			t.Errorf("cut at %d: %q, expected an answer", at, got)
+		}
+		clients[at].want("closed")
+	}
+}
+
+// A connection that the system has accepted when the last client leaves, and the sentry has not taken up, is served; one that
+// comes once the sentry has stopped listening is refused.
+func TestAcceptedAsTheLastLeaves(t *testing.T) {
+	r := served(t, worker(t, good))
+	r.wait("looks at no clients", func() bool { return len(r.p.booked()) == 0 })
+	release := heldPoller()
+	c := r.dial(t)
+	c.say(read("late"))
+	r.drainedAt()
+	time.Sleep(3 * lookEvery) // it finds no clients
+	release()
+	c.want("v-late")
+	c.want("closed")
+	select {
+	case <-r.s.Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the sentry did not end")
+	}
+	if c, err := net.DialTimeout("tcp", r.s.Address(), time.Second); err == nil {
+		c.Close()
+		t.Error("a connection was accepted after the end")
+	}
+}
+
+// Where there are too many clients, one whose command has come and was not read yet is not the one that is closed, though it
+// has been idle for longest.
+func TestBoundCrossesACommand(t *testing.T) {
+	r := newRig(t, plan{sockets: 160, workers: []string{worker(t, good)}})
+	all := make([]testCaller, r.p.post.Load().callers())
+	for i := range all {
+		all[i] = r.dial(t)
+		all[i].say(read(fmt.Sprint("r", i)))
+		all[i].want(fmt.Sprint("v-r", i))
+	}
+	release := heldPoller()
+	more := make(chan testCaller, 1)
+	wire.OnPoller(func() { // the oldest's command stands in the system as the new one is taken up
+		all[0].say(read("oldest"))
+		time.Sleep(20 * time.Millisecond)
+		oldest, since := (*caller)(nil), time.Time{}
+		for _, x := range r.p.booked() {
+			x.mu.Lock()
+			if oldest == nil || x.used.Before(since) {
+				oldest, since = x, x.used
+			}
+			x.mu.Unlock()
+		}
+		if oldest.CloseUnread(wire.ErrClosed, false) {
+			t.Error("a client was closed over a command that had come")
+		}
+	})
+	go func() { more <- r.dial(t) }()
+	release()
+	all[0].want("v-oldest")
+	c := <-more
+	c.say(read("new"))
+	c.want("v-new")
+	r.wait("one closed", func() bool { return len(r.p.booked()) == len(all) })
+}
+
+// Pipelined commands that come in pieces around the stop are all answered, in order, before the connection closes.
+func TestPipelineAroundTheStop(t *testing.T) {
+	hold := make(chan struct{})
+	r := served(t, worker(t, func(c net.Conn, n int, words []string) {
+		if words[2] == "p0" {
+			<-hold
+		}
+		good(c, n, words)
+	}))
+	c := r.dial(t)
+	text := ""
+	for i := range 8 {
+		text += read(fmt.Sprint("p", i))
+	}
+	c.say(text[:len(text)/2])
+	r.wait("some commands", func() bool { r.p.mu.Lock(); defer r.p.mu.Unlock(); return len(r.p.ids) >= 3 })
+	r.drainedAt()
+	c.say(text[len(text)/2:])
+	time.AfterFunc(100*time.Millisecond, func() { close(hold) })
+	for i := range 8 {
+		if got := c.line(); got != fmt.Sprint("v-p", i) && !strings.HasPrefix(got, "-BUSY") {
+			t.Errorf("answer %d: %q", i, got)
+		}
+	}
+	c.want("closed")
+}
--- a/internal/platform/rare_test.go
+++ b/internal/platform/rare_test.go
@@ -58,8 +58,9 @@
 		c.say(read("first")) // a connection stands
 		c.want("v-first")
 		time.Sleep(50 * time.Millisecond)
-		gate := make(chan struct{})
-		go r.s.Inspect(func() { <-gate })
+		held, gate := make(chan struct{}), make(chan struct{})
+		go r.s.Inspect(func() { close(held); <-gate })
+		<-held
 		c.say(read("inbox-a") + read("inbox-b"))
 		r.wait("both commands", func() bool { r.p.mu.Lock(); defer r.p.mu.Unlock(); return len(r.p.ids) == 2 })
 		c.Close()
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -70,11 +71,11 @@
 	spare    []byte
 	flushing bool
 	dead     bool
-	parting  error // closed for it once all is written
-	put      int64 // bytes so far
-	taken    int64 // of these, up to where netpoll was given them to write
-	written  int64 // and up to where the system has them
-	failed   bool  // what was taken last was not written whole
+	then     func() // to be called once all is written
+	put      int64  // bytes so far
+	taken    int64  // of these, up to where netpoll was given them to write
+	written  int64  // and up to where the system has them
+	failed   bool   // what was taken last was not written whole
 	once     sync.Once
 	flushFn  func()
 
@@ -249,10 +250,11 @@
 		l.mu.Lock()
 		if l.dead || len(l.pending) == 0 {
 			l.flushing = false
-			parting := l.parting
+			then := l.then
+			l.then = nil
 			l.mu.Unlock()
-			if parting != nil {
-				l.Close(parting)
+			if then != nil {
+				then()
 			}
 			return
 		}
@@ -292,18 +294,34 @@
 }
 
 // CloseWhenWritten ends the link for a reason once what waits has been written.
-func (l *Link) CloseWhenWritten(reason error) {
+func (l *Link) CloseWhenWritten(reason error) { l.WhenWritten(func() { l.Close(reason) }) }
+
+// WhenWritten calls a function once what waits has been written, or the link has ended.
+func (l *Link) WhenWritten(then func()) {
 	l.mu.Lock()
-	l.parting = reason
-	now := !l.flushing && len(l.pending) == 0
+	now := !l.flushing && (l.dead || len(l.pending) == 0)
+	if !now {
+		l.then = then
+	}
 	l.mu.Unlock()
 	if now {
-		l.Close(reason)
+		then()
 	} else {
 		l.Flush()
 	}
 }
 
+// CloseUnread ends the link at once, on the poller, and says whether it did: not if something stands unread, has come in part
+// (unless parts are given up) or waits to be written. What comes from then on is never read, and its sender sees that.
+func (l *Link) CloseUnread(reason error, parts bool) bool {
+	if !parts && len(l.carry) > 0 || l.Waiting() || !l.Quiet() {
+		return false
+	}
+	l.over(reason)
+	_ = l.conn.Close() // not of the connection whose handler is at work, if any: see init
+	return true
+}
+
 // Close ends the link for a reason. What waits to be written may be lost. The handler may still be at work on another
 // goroutine, and must take what it does then for nothing. The socket is shut down and left to the poller to close.
 func (l *Link) Close(reason error) {
@@ -353,10 +371,13 @@
 type Server struct {
 	Address string
 	loop    netpoll.EventLoop
+	fd      int // of the listener
 	mu      sync.Mutex
 	links   map[*Link]struct{}
 	open    int // sockets
 
+	accepted atomic.Int64
+
 	refusing bool
 }
 
@@ -379,6 +400,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.fd = converted.Fd()
 	wrapped := &announced{Listener: converted, ready: make(chan struct{})}
 	type linkKey struct{}
 	loop, err := netpoll.NewEventLoop(
@@ -386,6 +408,7 @@
 			return ctx.Value(linkKey{}).(netpoll.OnRequest)(ctx, conn)
 		},
 		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
+			s.accepted.Add(1)
 			l := newLink(conn, b, nil, nil)
 			read, ended := accept(l)
 			l.read = read
@@ -442,6 +465,23 @@
 	s.mu.Unlock()
 }
 
+// CloseListener refuses new connections from now on, and calls closed on the poller then; or it calls it with false, since a
+// connection that the system had accepted was taken up meanwhile: it may have brought something.
+func (s *Server) CloseListener(closed func(bool)) {
+	began := s.accepted.Load()
+	OnPoller(func() { // whatever the system had accepted by now is taken up before the next turn
+		OnPoller(func() {
+			if s.accepted.Load() != began {
+				closed(false)
+				return
+			}
+			s.StopListening()
+			_ = syscall.Shutdown(s.fd, syscall.SHUT_RDWR)
+			closed(true)
+		})
+	})
+}
+
 // Waiting counts the links on which something waits to be written.
 func (s *Server) Waiting() (n int) {
 	s.mu.Lock()
