--- a/cmd/scalechute/platform_test.go
+++ b/cmd/scalechute/platform_test.go
@@ -36,9 +36,12 @@
 			text = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
 			 "limits":{"cores":1,"memory_mb":64,"sockets":256},"release_api":{"address":"127.0.0.1:1"},"settings":%s}`, listen, platformSettings)
 		}
-		f, err := os.OpenFile(file, os.O_WRONLY, 0) // waits until the sentry reads
-		if err != nil {
-			t.Fatal(err)
+		f, err := os.OpenFile(file, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		for n := 0; err != nil; n++ { // until the sentry reads
+			if time.Sleep(10 * time.Millisecond); n > 1000 {
+				t.Fatal("the sentry does not read its configuration: ", err)
+			}
+			f, err = os.OpenFile(file, os.O_WRONLY|syscall.O_NONBLOCK, 0)
 		}
 		defer f.Close()
 		os.Remove(file) // the next time it reads another
--- a/internal/platform/rare_test.go
+++ b/internal/platform/rare_test.go
@@ -180,13 +180,29 @@
 	r.wait("the answers", func() bool { return r.ended(logic.Answered) == 4 })
 }
 
-// What waits for the only connection that there may be is sent once it has rested.
+// What waits for the only connection that there may be is sent once it has rested; so is what would not wait, if no other
+// connection can be had.
 func TestRested(t *testing.T) {
-	r := newRig(t, plan{workers: []string{worker(t, good)}, decide: toFirst(func(*input.Input) {})})
-	r.s.Inspect(func() { r.p.post.Load().Sheet.Bounds.Connections = 1 })
-	c := r.dial(t)
-	c.say(read("a") + read("b") + read("c"))
-	for _, id := range []string{"a", "b", "c"} {
-		c.want("v-" + id)
+	only := newRig(t, plan{workers: []string{worker(t, good)}, decide: toFirst(func(*input.Input) {})})
+	only.s.Inspect(func() { only.p.post.Load().Sheet.Bounds.Connections = 1 })
+	l := must(net.Listen("tcp", "127.0.0.1:0"))
+	go func() {
+		c, err := l.Accept()
+		l.Close() // and no other
+		for in := bufio.NewReader(c); err == nil; {
+			var words []string
+			if words, err = readCommand(in); err == nil {
+				good(c, 0, words)
+			}
+		}
+	}()
+	refused := newRig(t, plan{workers: []string{l.Addr().String()}, decide: toFirst(func(*input.Input) {}),
+		other: []string{`"connect_timeout_ns":250000000`, `"connect_timeout_ns":4000000000`}})
+	for _, r := range []*rig{only, refused} {
+		c := r.dial(t)
+		for _, id := range []string{"a", "b"} {
+			c.say(commandOf("Q.ASK", "k", id, "c=read,t=acme,d=890"))
+			c.want("v-" + id)
+		}
 	}
 }
--- a/internal/wire/reset_test.go
+++ b/internal/wire/reset_test.go
@@ -85,3 +85,47 @@
 	}
 	holds("broken off", marks, true, false, false)
 }
+
+// A listener closes only after a turn in which it has taken up no connection; from then on new ones are refused, and links
+// that are open stay so.
+func TestCloseListener(t *testing.T) {
+	server, err := ServeRaw("127.0.0.1:0", DefaultBounds, func(l *Link) (Reader, func(*Link, error)) {
+		return func(l *Link, data []byte) ([]byte, error) {
+			l.PutRaw(data)
+			l.Flush()
+			return nil, nil
+		}, nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	held, gate := make(chan struct{}), make(chan struct{})
+	OnPoller(func() { close(held); <-gate })
+	<-held
+	c, err := net.Dial("tcp", server.Address) // the system accepts it
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	closed := make(chan bool, 1)
+	server.CloseListener(func(ok bool) { closed <- ok })
+	close(gate)
+	if <-closed {
+		t.Error("the listener closed over a connection that the system had accepted")
+	}
+	for server.CloseListener(func(ok bool) { closed <- ok }); !<-closed; server.CloseListener(func(ok bool) { closed <- ok }) {
+	}
+	if c, err := net.DialTimeout("tcp", server.Address, time.Second); err == nil {
+		c.Close()
+		t.Error("a connection came up after the listener had closed")
+	}
+	echo := make([]byte, 1)
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(echo); err != nil || echo[0] != 'x' {
+		t.Errorf("%q, %v on the link that was open, expected x", echo, err)
+	}
+}
