Contradictory settings are refused in a line; tests of reloads and two customers

config.go: two classes of one name made an index run over (byPlace) and the start panicked; names that are not one for each class or tenant, and a class with no aim or deadline, are now told in one line. Seen with the new rows of TestConfigurationFaults, which panic without it.

Also tested on loopback: SIGHUP twice at once while the sentry drains, with a watch open, to be opened again and absent: one call for all of the list at the new address; and two sentries with other settings in one process, each with its own classes, tenants, commands and deadlines. These found nothing.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -96,6 +96,9 @@
 		return nil, fmt.Errorf("settings: found %d classes, position %d of %d, %d attempts, %d us to connect, expected each",
 			len(names.Profiles), standing.Position, standing.Sentries, standing.MostHandOffs, standing.ConnectLimit)
 	}
+	if err := sound(standing, names); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("seed: found %q, expected a number of 16 digits", f.Seed)
@@ -121,6 +124,24 @@
 	return p, nil
 }
 
+// sound refuses settings that contradict themselves.
+func sound(o logic.StandingOrders, names *facts.Names) error {
+	for _, x := range [...]struct {
+		what         string
+		named, given int
+	}{{"classes", len(names.Profiles), len(o.Profiles)}, {"tenants", len(names.Accounts), len(o.Accounts)}} {
+		if x.named != x.given {
+			return fmt.Errorf("found %d names of %d %s, expected one of its own for each", x.named, x.given, x.what)
+		}
+	}
+	for name, i := range names.Profiles {
+		if p := o.Profiles[i]; name == "" || p.DueTime <= 0 || p.OuterLimit <= 0 {
+			return fmt.Errorf("class %q: found an aim of %d us and a deadline of %d us, expected a name and both", name, p.DueTime, p.OuterLimit)
+		}
+	}
+	return nil
+}
+
 // byPlace lists names by their numbers.
 func byPlace[ID ~int](names map[string]ID) []string {
 	list := make([]string, len(names))
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -534,7 +534,9 @@
 		"listen": {`"listen":"127.0.0.1:0"`, `"listen":"nowhere"`}, "discovery": {`"discovery"`, `"x"`},
 		"release_api.address": {`"address"`, `"x"`}, "limits": {`"sockets":256`, `"sockets":8`}, "seed": {"8c1f", "seed"},
 		"known": {`"active"`, `"gone"`}, "release_api: news": {"Healthy", "Fine"}, "settings": {`"categories"`, `"x"`},
-		"settings: facts": {`"position":0`, `"position":"a"`}, "expected one in JSON": {`{"name"`, `["name"`},
+		"settings: facts": {`"position":0`, `"position":"a"`}, "names of 3 classes": {`"name":"note"`, `"name":"read"`},
+		"names of 2 tenants": {`{"name":"acme","fraction":1}`, `{"name":"acme","fraction":1},{"name":"acme","fraction":1}`},
+		`class "note"`:       {`"name":"note","aim_ns":300000000`, `"name":"note","aim_ns":0`}, "expected one in JSON": {`{"name"`, `["name"`},
 	} {
 		text := configuration(256, "127.0.0.1:1", "127.0.0.1:2", []string{"127.0.0.1:3"}, other...)
 		if p, err := parsePost(text); err == nil || !strings.Contains(err.Error(), place) || strings.Contains(err.Error(), "\n") {
--- a/internal/platform/rare_test.go
+++ b/internal/platform/rare_test.go
@@ -206,3 +206,45 @@
 		}
 	}
 }
+
+// Two sentries of other customers in one process: each takes its own classes and tenants, with its own deadlines and
+// commands, and refuses the other's names; a reload of one changes nothing for the other.
+func TestTwoCustomers(t *testing.T) {
+	at := worker(t, func(c net.Conn, n int, words []string) {
+		if words[2] != "silent" {
+			good(c, n, words)
+		}
+	})
+	other := []string{`"name":"read"`, `"name":"look"`, `"name":"note"`, `"name":"book"`, `"name":"move"`, `"name":"pay"`, `"name":"acme"`,
+		`"name":"river"`, `"deadline_ns":900000000`, `"deadline_ns":300000000`, `"effect":"fragile"`, `"effect":"retryable"`, `"max_attempts":3`, `"max_attempts":1`}
+	one, two := newRig(t, plan{workers: []string{at}}), newRig(t, plan{workers: []string{at}, other: other})
+	ask := func(command, id, facts string) string { return commandOf(command, "k", id, facts) }
+	for _, x := range []struct {
+		r    *rig
+		say  string
+		want string
+	}{
+		{one, ask("Q.ASK", "a", "c=read,t=acme,d=800"), "v-a"}, {two, ask("Q.ASK", "a", "c=look,t=river,d=800"), "v-a"},
+		{one, ask("Q.ASK", "b", "c=look,t=acme,d=800"), "-ERR found a class"}, {two, ask("Q.ASK", "b", "c=read,t=river,d=800"), "-ERR found a class"},
+		{one, ask("Q.ASK", "c", "c=read,t=river,d=800"), "-ERR found a tenant"}, {two, ask("Q.ASK", "c", "c=look,t=acme,d=800"), "-ERR found a tenant"},
+		{one, ask("Q.DO", "d", "c=move,t=acme,d=800"), "v-d"}, {two, ask("Q.ASK", "d", "c=pay,t=river,d=800"), "v-d"},
+		{one, ask("Q.ASK", "e", "c=move,t=acme,d=800"), "-ERR found a command"}, {two, ask("Q.DO", "e", "c=pay,t=river,d=800"), "-ERR found a command"},
+	} {
+		c := x.r.dial(t)
+		c.say(x.say)
+		c.want(x.want)
+	}
+	began := time.Now()
+	c := two.dial(t)
+	c.say(ask("Q.ASK", "silent", "c=look,t=river,d=5000"))
+	c.want("-BUSY") // by its own deadline
+	if took := time.Since(began); took < 250*time.Millisecond {
+		t.Errorf("given up after %v, expected the second customer's deadline", took)
+	}
+	if err := two.p.Reload(must(parsePost(configuration(256, closed(), closed(), []string{at}, append(other, `"free":2`, `"free":7`)...)))); err != nil {
+		t.Fatal(err)
+	}
+	if a, b := one.p.post.Load().Sheet.Standing.FreeExposure, two.p.post.Load().Sheet.Standing.FreeExposure; a != 2 || b != 7 {
+		t.Errorf("free exposure %v and %v, expected 2 and 7", a, b)
+	}
+}
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -45,6 +45,7 @@
 	lists   [][]logic.Worker
 	rulings map[logic.RulingKind]int
 	orders  int
+	refused int // lists
 	said    string
 }
 
@@ -142,6 +143,8 @@
 		r.news = append(r.news, in.News)
 	case input.ListCame:
 		r.lists = append(r.lists, in.List)
+	case input.ListRefused:
+		r.refused++
 	case input.Ordered:
 		r.orders++
 	case input.PeerSaid:
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -264,3 +264,50 @@
 		t.Error(err)
 	}
 }
+
+// SIGHUP moves discovery while the sentry drains, with a watch open, with one that is to be opened again, and with none: all
+// of the list is asked for at the new address at once, and what the old one tells from then on changes nothing.
+func TestReloadMeetsTheWatch(t *testing.T) {
+	x := func(build int) target { return target{"x", "127.0.0.1:9", "here", "active", 1, build} }
+	refuses := func(t *testing.T) string {
+		return listen(t, func(c net.Conn) {
+			http.ReadRequest(bufio.NewReader(c))
+			io.WriteString(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			c.Close()
+		})
+	}
+	for name, at := range map[string]func(t *testing.T) (address string, decide func(*input.Input) logic.Result){
+		"open":      func(t *testing.T) (string, func(*input.Input) logic.Result) { return discoveryOf(t, nil, x(7)), nil },
+		"reopening": func(t *testing.T) (string, func(*input.Input) logic.Result) { return refuses(t), nil },
+		"absent": func(t *testing.T) (string, func(*input.Input) logic.Result) {
+			return discoveryOf(t, nil, x(7)), func(*input.Input) logic.Result { return logic.Result{} }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, decide := at(t)
+			from := make(chan string, 10)
+			next := scripted(t, func(c net.Conn, n int, query string) {
+				from <- query
+				io.WriteString(c, list(3, true, x(8)))
+				io.Copy(io.Discard, c)
+			})
+			r := newRig(t, plan{discovery: address, decide: decide})
+			r.wait("the state before", func() bool {
+				return name == "open" && r.told("x", 7)() || name == "reopening" && r.refused > 0 || name == "absent" && len(r.lists) > 0
+			})
+			r.p.Drain()
+			for range 2 { // two at once
+				go r.p.Reload(must(parsePost(configuration(256, next, closed(), nil))))
+			}
+			if query := <-from; query != "watch=1&from=0" {
+				t.Errorf("call %q, expected all from the start", query)
+			}
+			r.wait("the new list", r.told("x", 8))
+			select {
+			case query := <-from:
+				t.Errorf("a second call %q, expected one", query)
+			default:
+			}
+		})
+	}
+}
