Test: a worker's connection that ends at every third byte of an attempt and of its answer

In order and with a reset; the client gets one answer, an attempt that was written whole is not sent again and not refused, and the next request is served.

--- a/internal/platform/rare_test.go
+++ b/internal/platform/rare_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -248,3 +249,50 @@
 		t.Errorf("free exposure %v and %v, expected 2 and 7", a, b)
 	}
 }
+
+// A worker's connection that ends at each step of an attempt, in order or with a reset: its client gets one answer, never
+// another's, and what comes next is served.
+func TestWorkerEndsAtEachStep(t *testing.T) {
+	command, whole := len(move("a")), answer("v-a")
+	ends := map[string]func(net.Conn){
+		"in order":     func(c net.Conn) { c.Close() },
+		"with a reset": func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+	}
+	for name, end := range ends {
+		for step := 0; step <= command+len(whole); step += 3 {
+			var n, again atomic.Int64
+			r := served(t, listen(t, func(c net.Conn) {
+				if n.Add(1) > 1 {
+					for in := bufio.NewReader(c); ; {
+						words, err := readCommand(in)
+						if err != nil {
+							return
+						}
+						if words[2] == "a" {
+							again.Add(1)
+						}
+						good(c, 0, words)
+					}
+				}
+				io.ReadFull(c, make([]byte, min(step, command)))
+				io.WriteString(c, whole[:max(0, step-command)])
+				end(c)
+			}))
+			c := r.dial(t)
+			c.say(move("a"))
+			// What may have run is written off; a refusal says that it has not.
+			if got := c.line(); got != "v-a" && !strings.HasPrefix(got, "-ERR") && !(strings.HasPrefix(got, "-BUSY") && step == 0) {
+				t.Errorf("%s after %d of %d and %d bytes: answer %q", name, step, command, len(whole), got)
+			}
+			if step > 0 && again.Load() > 0 { // it was written whole, since something of it was read
+				t.Errorf("%s after %d of %d and %d bytes: sent again, though it may have run", name, step, command, len(whole))
+			}
+			c.say(commandOf("PING"))
+			c.want("+PONG")
+			c.say(read("b"))
+			if got := c.line(); got != "v-b" && !strings.HasPrefix(got, "-BUSY") {
+				t.Errorf("%s after %d bytes: next answer %q", name, step, got)
+			}
+		}
+	}
+}
