Test of a close that crosses a write could hang; it holds the poller by a turn

TestClosedAsItIsWritten held the poller in the reader of a link that it dialled. Where the other side's byte came before netpoll had the reader, SetOnRequest called that on the dialling goroutine, which waited for itself: seen in the goroutines of one run of three, stuck for 2.5 minutes (and the cause of a run of the package that hung for 10 minutes). It now waits in a turn on the poller (heldPoller), which holds it for certain; what it asserts is the same.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -200,10 +200,7 @@
 	c := r.dial(t)
 	c.say(move("a"))
 	c.want("v-a")
-	held, release := make(chan struct{}), make(chan struct{})
-	must(wire.DialRaw(listen(t, func(c net.Conn) { io.WriteString(c, "x") }), time.Second, wire.DefaultBounds,
-		func(*wire.Link, []byte) ([]byte, error) { close(held); <-release; return nil, nil }, nil))
-	<-held // and with it the poller
+	release := heldPoller()
 	(<-conns).Close()
 	time.Sleep(20 * time.Millisecond)
 	n := nobody{make(chan string, 1)}
@@ -211,7 +208,7 @@
 	r.s.Joined(n).Asked(&wire.Ask{ID: 1, Profile: 2, Left: 800_000, Key: []byte("k"), Payload: pack(nil, m, 2, 3)})
 	r.wait("the hand-off", func() bool { return r.rulings[logic.HandOff] == 2 })
 	time.Sleep(20 * time.Millisecond)
-	close(release)
+	release()
 	if got := <-n.answers; got != "v-b" {
 		t.Errorf("answer %q, endings %v", got, r.ends)
 	}
