--- a/internal/platform/services.go
+++ b/internal/platform/services.go
@@ -50,10 +50,12 @@
 	told    uint64        // the newest version taken from this address
 	afresh  bool          // the next watch asks for all of the list
 	pause   time.Duration // before a pushed watch is opened again
+	calls   uint64        // made so far
 }
 
 // call is one question to discovery and what comes of it.
 type call struct {
+	id     uint64 // in the log, from 1
 	watch  bool
 	moves  int
 	since  uint64
@@ -75,7 +77,8 @@
 	}
 	url := "http://" + d.address + "/api/targets"
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &call{watch: watch, moves: d.moves, cancel: cancel}
+	d.calls++
+	c := &call{id: d.calls, watch: watch, moves: d.moves, cancel: cancel}
 	if watch {
 		if d.afresh {
 			since = 0
@@ -85,8 +88,10 @@
 	}
 	go func() {
 		defer cancel()
+		begun := time.Now()
 		if err := d.read(ctx, c, url); err != nil && !d.p.over() {
-			d.p.log.Warn().Err(err).Msg("discovery")
+			d.p.log.Warn().Uint64("call", c.id).Bool("watch", watch).Uint64("from", c.since).Dur("took_ms", time.Since(begun)).
+				Err(err).Msg("discovery call ended")
 			d.tell(c, &pb.Report{Refused: true})
 		}
 	}()
@@ -109,8 +114,13 @@
 	case m.Refused:
 		return true
 	case m.Version < d.told && !c.afresh: // a later call has told more
+		d.p.log.Warn().Uint64("call", c.id).Uint64("version", m.Version).Uint64("held", d.told).Msg("outdated list dropped")
 		return false
 	}
+	if m.Version != d.told || len(m.Lines) > 0 {
+		d.p.log.Info().Uint64("call", c.id).Uint64("version", m.Version).Uint64("before", d.told).Bool("whole", m.Whole).
+			Int("lines", len(m.Lines)).Msg("list taken")
+	}
 	d.told, c.afresh, d.pause = m.Version, false, 0
 	return true
 }
--- a/internal/sentry/metrics.go
+++ b/internal/sentry/metrics.go
@@ -31,6 +31,7 @@
 	left, notTaken, overdue, faults, handOffs, dials prometheus.Counter
 	lateEnds, lists, votes, said                     prometheus.Counter
 	unknown, misfits, reloaded, refused              prometheus.Counter
+	oldLists                                         prometheus.Counter
 	unrouted                                         [len(unroutedNames)]prometheus.Counter
 
 	takenBy, outcomesBy *prometheus.CounterVec
@@ -73,6 +74,7 @@
 	m.dials = one("dials_total", "Connections to workers begun.")
 	m.lateEnds = one("late_ends_total", "Answers of workers to hand-offs that had ended.")
 	m.lists = one("whole_lists_total", "Whole lists received.")
+	m.oldLists = one("attempts_on_old_lists_total", "Servers that got an attempt while discovery had confirmed nothing for 4 s, each time once.")
 	m.votes = one("votes_total", "Votes sent.")
 	m.said = one("messages_total", "Messages sent to peers.")
 	gauge := func(name, help string, f func() float64) {
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -65,6 +65,7 @@
 	votes    map[uint64]bool
 	voteSeq  uint64
 	listSeq  uint64
+	listAt   logic.Micros // when discovery last said how the list stands, at first the start
 	stopping bool
 	atStart  *pb.Report // the list as it was remembered, nil if a file has it
 	scratch  struct {
@@ -639,6 +640,10 @@
 	s.unclosed--
 	delete(t.client.open, t.asked)
 	s.metrics.answered(t, o, s.now)
+	if o != pb.Outcome_SATISFIED {
+		s.log.Debug().Str("request", string(t.id)).Stringer("outcome", o).Int("attempts", len(t.sends)).
+			Dur("after_ms", span(s.now-t.came)).Msg("request ended without a server's answer")
+	}
 	a := &s.scratch.answer
 	*a = wire.Answer{ID: t.asked, Outcome: uint32(o), ComeBack: uint64(comeBack), Payload: payload, Worker: worker,
 		Profile: t.profile}
@@ -702,6 +707,7 @@
 // start is the beginning of the stream: what was remembered of the list, then what the services tell.
 func (s *Sentry) start() {
 	s.now = s.clock.now()
+	s.listAt = s.now
 	list := s.remembered()
 	s.tell(input.Input{Kind: input.ListCame, ListKind: logic.ListRemembered, List: list})
 	s.ends.Begin()
--- a/internal/sentry/upstream.go
+++ b/internal/sentry/upstream.go
@@ -167,6 +167,7 @@
 	if m.Whole {
 		kind = logic.ListWhole
 	}
+	s.listAt = s.now
 	list := s.book.take(m, s.now)
 	if refused := len(m.Lines) - len(list); refused > 0 {
 		s.metrics.faults.Add(float64(refused))
--- a/internal/sentry/workers.go
+++ b/internal/sentry/workers.go
@@ -24,6 +24,7 @@
 	waiting []waiting    // the earliest first
 	restDue logic.Micros // of the timer for connections that rest
 	probes  uint64
+	noted   logic.Micros // the list's last confirmation of which noteOldList told
 }
 
 // waiting is a hand-off without a connection yet.
@@ -168,10 +169,27 @@
 		c.used, h.conn, h.id = s.now, c, id
 		s.alarm(t)
 		s.metrics.handOffs.Inc()
+		s.noteOldList(w, t, n)
 		return true
 	}
 }
 
+// oldList is how long ago discovery said how the list stands when an attempt that rests on it is worth a line in the log:
+// twice the time between its signs of life.
+const oldList = logic.Micros(4_000_000)
+
+// noteOldList tells of an attempt to a server of which discovery has said nothing for long, once for each such time.
+func (s *Sentry) noteOldList(w *worker, t *transaction, n int) {
+	if s.now-s.listAt < oldList || w.noted == s.listAt {
+		return
+	}
+	w.noted = s.listAt
+	s.metrics.oldLists.Inc()
+	s.log.Info().Str("server", string(w.id)).Str("address", w.address).Int("build", int(w.line.Build)).
+		Str("request", string(t.id)).Int("attempt", n).Dur("list_age_ms", span(s.now-s.listAt)).
+		Dur("request_age_ms", span(s.now-t.came)).Msg("attempt on an old list")
+}
+
 // perDial is how many hand-offs that wait a new connection is for.
 func (s *Sentry) perDial() int {
 	if s.ends.Ordered() {
