--- /dev/null
+++ b/cmd/scalechute/discovery_outage_test.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// What the operators' pages state: a change of the list counts as told so long after discovery had it, whether or not it
+// arrived, and requests to the server must have ceased this much later.
+const (
+	noticeWithin = 6 * time.Second
+	drainGrace   = 2 * time.Second // as platformSettings has it
+)
+
+// standInDiscovery serves one list on a watch until it breaks off. From then on it is crowded: each call ends with 503,
+// after a wait for its turn.
+type standInDiscovery struct {
+	address string
+	calls   atomic.Int64
+	broken  chan struct{}
+}
+
+func newStandInDiscovery(t *testing.T, list string) *standInDiscovery {
+	d := &standInDiscovery{broken: make(chan struct{})}
+	d.address = serveConnections(t, "127.0.0.1:0", func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		if d.calls.Add(1) > 1 || list == "" {
+			time.Sleep(300 * time.Millisecond)
+			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+list+"\n")
+		<-d.broken
+		c.(*net.TCPConn).SetLinger(0)
+	}).address
+	return d
+}
+
+// standInServer answers each request with its id, and counts those of which the id has a mark.
+type standInServer struct {
+	address string
+	marked  atomic.Int64
+	stop    func()
+}
+
+const lateMark = "late"
+
+func newStandInServer(t *testing.T, address string) *standInServer {
+	s := &standInServer{}
+	l := serveConnections(t, address, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for {
+			words, err := readWords(in)
+			if err != nil {
+				return
+			}
+			if strings.HasPrefix(words[2], lateMark) {
+				s.marked.Add(1)
+			}
+			fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(words[2]), words[2])
+		}
+	})
+	s.address, s.stop = l.address, l.stop
+	return s
+}
+
+// listener serves connections until it is stopped; a stop resets them, as the end of a process does.
+type listener struct {
+	address string
+	stop    func()
+}
+
+func serveConnections(t *testing.T, address string, serve func(net.Conn)) listener {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var open []net.Conn
+	stop := func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range open {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+		open = nil
+	}
+	t.Cleanup(stop)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
+			go func() { serve(c); c.Close() }()
+		}
+	}()
+	return listener{l.Addr().String(), stop}
+}
+
+func readWords(in *bufio.Reader) (words []string, err error) {
+	var n, size int
+	_, err = fmt.Fscanf(in, "*%d\r\n", &n)
+	for ; n > 0 && err == nil; n-- {
+		if _, err = fmt.Fscanf(in, "$%d\r\n", &size); err == nil {
+			b := make([]byte, size+2)
+			_, err = io.ReadFull(in, b)
+			words = append(words, string(b[:size]))
+		}
+	}
+	return words, err
+}
+
+// ask sends one request and gives its answer's first line, empty if there is none.
+func ask(c net.Conn, in *bufio.Reader, id string) string {
+	fmt.Fprintf(c, "*5\r\n$5\r\nQ.ASK\r\n$5\r\nkey-1\r\n$%d\r\n%s\r\n$12\r\nc=read,d=800\r\n$4\r\nbody\r\n", len(id), id)
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	line, _ := in.ReadString('\n')
+	if strings.HasPrefix(line, "$") {
+		in.ReadString('\n')
+	}
+	return line
+}
+
+func listOf(address string, rev, build int) string {
+	return fmt.Sprintf(`{"rev":%d,"all":true,"targets":[{"uid":"s-1","endpoint":%q,"az":"here","pod_group":1,"state":"active",`+
+		`"capacity_hint":1,"boot_ms":0,"release":%d}]}`, rev, address, build)
+}
+
+// outage is one process beside a discovery that breaks off, and what a client sees of it.
+type outage struct {
+	t         *testing.T
+	discovery *standInDiscovery
+	conn      net.Conn
+	in        *bufio.Reader
+	sent      int
+	answers   map[string]int // by their first character
+}
+
+func newOutage(t *testing.T, list, known string) *outage {
+	listen := freeAddress(t)
+	d := newStandInDiscovery(t, list)
+	p, configure := platformed(t, listen)
+	t.Cleanup(func() { p.Process.Signal(syscall.SIGKILL); p.Wait() })
+	configure(0, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":64,
+	 "sockets":256},"release_api":{"address":"127.0.0.1:1"},"known":%s,"settings":%s}`, listen, d.address, known, platformSettings))
+	if !ping(listen) {
+		t.Fatal("the process does not answer")
+	}
+	c, err := net.Dial("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &outage{t: t, discovery: d, conn: c, in: bufio.NewReader(c), answers: map[string]int{}}
+}
+
+// askUntil sends requests one after another, 50 ms apart.
+func (o *outage) askUntil(end time.Time, mark string) {
+	for time.Now().Before(end) {
+		o.sent++
+		answer := ask(o.conn, o.in, fmt.Sprintf("%s-%d", mark, o.sent))
+		if answer == "" {
+			o.t.Fatalf("request %d got no answer", o.sent)
+		}
+		o.answers[answer[:1]]++
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Incident 1: a process that can't reach discovery has a list that grows old. A server leaves; later another build answers
+// under its id and address. Once the change counts as told and the drain grace is over, no request may go there.
+func TestRemovedServerAfterDiscoveryIsLost(t *testing.T) {
+	t.Parallel()
+	old := newStandInServer(t, "127.0.0.1:0")
+	o := newOutage(t, listOf(old.address, 50, 7), "null")
+	o.askUntil(time.Now().Add(500*time.Millisecond), "early")
+	if o.answers["$"] == 0 {
+		t.Fatalf("answers %v, expected some from the server", o.answers)
+	}
+	close(o.discovery.broken)
+	time.Sleep(200 * time.Millisecond)
+	old.stop()
+	removed := time.Now()
+	next := newStandInServer(t, old.address)
+	o.askUntil(removed.Add(noticeWithin+drainGrace), "early")
+	o.askUntil(removed.Add(noticeWithin+drainGrace+1500*time.Millisecond), lateMark)
+	if n := next.marked.Load(); n > 0 {
+		t.Errorf("%d requests went to a server that had left %v before, expected none after %v", n, time.Since(removed),
+			noticeWithin+drainGrace)
+	}
+	if o.discovery.calls.Load() < 3 {
+		t.Errorf("%d calls to discovery, expected further ones", o.discovery.calls.Load())
+	}
+}
+
+// The same for a process that starts with a remembered list and never reaches discovery.
+func TestRemovedServerAfterRestart(t *testing.T) {
+	t.Parallel()
+	next := newStandInServer(t, "127.0.0.1:0")
+	o := newOutage(t, "", listOf(next.address, 41, 7))
+	started := time.Now()
+	o.askUntil(started.Add(noticeWithin+drainGrace), "early")
+	o.askUntil(started.Add(noticeWithin+drainGrace+1500*time.Millisecond), lateMark)
+	if n := next.marked.Load(); n > 0 {
+		t.Errorf("%d requests went by a remembered list that nothing has confirmed, expected none after %v", n, noticeWithin+drainGrace)
+	}
+}
+
+// A server that goes on answering over a connection from before the outage has not left: requests go on to it, however
+// long discovery is away.
+func TestServerThatAnswersOutlivesDiscovery(t *testing.T) {
+	t.Parallel()
+	server := newStandInServer(t, "127.0.0.1:0")
+	o := newOutage(t, listOf(server.address, 50, 7), "null")
+	o.askUntil(time.Now().Add(500*time.Millisecond), "early")
+	close(o.discovery.broken)
+	lost := time.Now()
+	o.askUntil(lost.Add(noticeWithin+drainGrace), "early")
+	o.askUntil(lost.Add(noticeWithin+drainGrace+1500*time.Millisecond), lateMark)
+	if server.marked.Load() == 0 {
+		t.Errorf("answers %v, expected requests to go on to a server that answers", o.answers)
+	}
+}
