--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -66,9 +66,11 @@
 	voteSeq  uint64
 	listSeq  uint64
 	listAt   logic.Micros // when discovery last said how the list stands, at first the start
-	stopping bool
-	atStart  *pb.Report // the list as it was remembered, nil if a file has it
-	scratch  struct {
+	// the confirmation after which an attempt on an old list was told of
+	listNoted logic.Micros
+	stopping  bool
+	atStart   *pb.Report // the list as it was remembered, nil if a file has it
+	scratch   struct {
 		answer wire.Answer
 		work   wire.Work
 		name   []byte
--- a/internal/sentry/workers.go
+++ b/internal/sentry/workers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"scalechute/internal/input"
@@ -189,14 +190,19 @@
 // twice the time between its signs of life.
 const oldList = logic.Micros(4_000_000)
 
-// noteOldList tells of an attempt to a server of which discovery has said nothing for long, once for each such time.
+// noteOldList tells of attempts that rest on what discovery said long ago: of the first one once for each such time, of
+// further servers at debug.
 func (s *Sentry) noteOldList(w *worker, t *transaction, n int) {
 	if s.now-s.listAt < oldList || w.noted == s.listAt {
 		return
 	}
 	w.noted = s.listAt
 	s.metrics.oldLists.Inc()
-	s.log.Info().Str("server", string(w.id)).Str("address", w.address).Int("build", int(w.line.Build)).
+	level := zerolog.DebugLevel
+	if s.listNoted != s.listAt {
+		s.listNoted, level = s.listAt, zerolog.InfoLevel
+	}
+	s.log.WithLevel(level).Str("server", string(w.id)).Str("address", w.address).Int("build", int(w.line.Build)).
 		Str("request", string(t.id)).Int("attempt", n).Dur("list_age_ms", span(s.now-s.listAt)).
 		Dur("request_age_ms", span(s.now-t.came)).Msg("attempt on an old list")
 }
