--- a/internal/measure/bare.go
+++ b/internal/measure/bare.go
@@ -24,8 +24,8 @@
 	_, err := wire.Serve(listen, wire.DefaultBounds, func(in *wire.Link) (wire.Handler, func(*wire.Link, error)) {
 		var mu sync.Mutex
 		var out []*wire.Link
-		chance := rand.New(rand.NewSource(time.Now().UnixNano()))
-		go func() { // dialling on the poller would wait for itself
+		chance := rand.New(rand.NewSource(time.Now().UnixNano())) // wall clock: a seed
+		go func() {                                               // dialling on the poller would wait for itself
 			for _, w := range workers {
 				l, err := wire.Dial(w, time.Second, wire.DefaultBounds, func(_ *wire.Link, kind wire.Kind, body []byte) error {
 					in.PutFrame(kind, body)
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"scalechute/internal/clock"
 	"scalechute/internal/facts"
 	"scalechute/internal/orders"
 	"scalechute/internal/wire/pb"
@@ -32,6 +33,7 @@
 	Known      *pb.Report
 	Sheet      *orders.Sheet
 	names      *facts.Names
+	wall       *clock.Wall
 }
 
 // ReadPost reads the configuration that the environment names.
@@ -106,9 +108,9 @@
 	}
 	p := &Post{Name: f.Name, Discovery: f.Discovery, Desk: f.Desk.Address, PeerListen: f.PeerListen, Peers: f.Peers,
 		PeersAll: f.PeersAll, MemoryMB: f.Limits.MemoryMB, Cores: f.Limits.Cores, Sockets: f.Limits.Sockets, names: names,
-		Known: &pb.Report{Whole: true}}
+		Known: &pb.Report{Whole: true}, wall: clock.NewWall()}
 	if f.Known != nil {
-		if p.Known, err = f.Known.report(time.Now()); err != nil {
+		if p.Known, err = f.Known.report(p.wall); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
@@ -180,7 +182,8 @@
 
 var states = map[string]pb.Line_State{"active": pb.Line_READY, "leaving": pb.Line_DRAINING, "left": pb.Line_GONE}
 
-func (t *targets) report(now time.Time) (*pb.Report, error) {
+// report gives what discovery told in the sentry's terms. A server's start comes as a stamp of the platform's clock.
+func (t *targets) report(wall *clock.Wall) (*pb.Report, error) {
 	m := &pb.Report{Whole: t.All, Version: t.Rev}
 	for _, x := range t.Targets {
 		state, ok := states[x.State]
@@ -193,7 +196,7 @@
 		line := &pb.Line{Id: x.UID, Address: x.Endpoint, Build: x.Release, Zone: x.AZ, Cell: x.PodGroup, Size: x.Hint,
 			State: state, Life: uint64(x.BootMS)<<20 ^ uint64(x.Release)} // another build is another life
 		if x.BootMS > 0 {
-			line.Young, line.Age = true, uint64(max(0, now.UnixMicro()-1000*x.BootMS))
+			line.Young, line.Age = true, uint64(wall.Age(time.UnixMilli(x.BootMS))/time.Microsecond)
 		}
 		m.Lines = append(m.Lines, line)
 	}
--- a/internal/platform/door.go
+++ b/internal/platform/door.go
@@ -140,6 +140,9 @@
 // look has those clients closed that say nothing and, once the sentry is to stop, those with nothing open; then it stops.
 func (p *Platform) look() {
 	for range p.ticks(lookEvery) {
+		if step := p.wall.Step(); step != 0 {
+			p.log.Warn().Dur("by_ms", step).Int("steps", p.wall.Steps()).Msg("the wall clock was stepped")
+		}
 		all := p.booked()
 		for _, c := range all {
 			if c.idle(time.Now()) {
--- a/internal/platform/door_test.go
+++ b/internal/platform/door_test.go
@@ -19,7 +19,10 @@
 }
 
 // drainedAt has a sentry asked to stop so long ago that clients with nothing open are to go.
-func (r *rig) drainedAt() { r.p.drainAt.Store(time.Now().Add(-stopAfter).UnixMicro()) }
+func (r *rig) drainedAt() {
+	asked := time.Now().Add(-stopAfter)
+	r.p.drainAt.Store(&asked)
+}
 
 func (r *rig) onlyCaller() *caller {
 	all := r.p.booked()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"scalechute/internal/clock"
 	"scalechute/internal/sentry"
 	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
@@ -25,7 +26,8 @@
 	peers     *peers
 	done      chan struct{}
 
-	drainAt atomic.Int64 // Unix microseconds, 0 if the sentry is not to stop
+	drainAt atomic.Pointer[time.Time] // with its monotonic reading; nil if the sentry is not to stop
+	wall    *clock.Wall
 
 	mu      sync.Mutex
 	callers map[*caller]struct{}
@@ -34,7 +36,7 @@
 
 // New makes the ends that a configuration asks for.
 func New(post *Post, log zerolog.Logger) (*Platform, error) {
-	p := &Platform{log: log, done: make(chan struct{}), callers: map[*caller]struct{}{}, ids: map[string]struct{}{}}
+	p := &Platform{log: log, wall: post.wall, done: make(chan struct{}), callers: map[*caller]struct{}{}, ids: map[string]struct{}{}}
 	p.post.Store(post)
 	p.discovery = newDiscovery(p, post.Discovery)
 	p.desk = &desk{p: p, address: post.Desk, wake: make(chan struct{}, 1)}
@@ -92,13 +94,14 @@
 
 // Drain has the sentry serve what still comes and stop once all clients are gone.
 func (p *Platform) Drain() {
-	p.drainAt.CompareAndSwap(0, time.Now().UnixMicro())
+	now := time.Now()
+	p.drainAt.CompareAndSwap(nil, &now)
 }
 
 // drained says whether clients with nothing open are to go.
 func (p *Platform) drained() bool {
 	at := p.drainAt.Load()
-	return at > 0 && time.Now().UnixMicro()-at >= stopAfter.Microseconds()
+	return at != nil && time.Since(*at) >= stopAfter
 }
 
 // Reload takes a configuration that was read anew: its orders by the sentry's own step, if they are others, and its
--- a/internal/platform/services.go
+++ b/internal/platform/services.go
@@ -187,7 +187,7 @@
 			if err := json.Unmarshal(text, &t); err != nil {
 				return err
 			}
-			if m, err = t.report(time.Now()); err != nil {
+			if m, err = t.report(d.p.wall); err != nil {
 				return err
 			}
 			if m.Version < since {
--- a/internal/sentry/book.go
+++ b/internal/sentry/book.go
@@ -105,7 +105,9 @@
 	return list
 }
 
-// The file: eight bytes of hash, eight of the wall clock in microseconds, a Report.
+// The file: eight bytes of hash, eight of the wall clock in microseconds, for people, a Report. Ages of servers are those as
+// it was written: no clock that can be trusted tells how long ago that was, and a server taken for too young is spared, not
+// overloaded.
 
 const bookHeader = 16
 
@@ -124,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	binary.BigEndian.PutUint64(out[8:], uint64(time.Now().UnixMicro()))
+	binary.BigEndian.PutUint64(out[8:], uint64(time.Now().UnixMicro())) // wall clock: for people
 	binary.BigEndian.PutUint64(out, xxh3.Hash(out[8:]))
 	return out, nil
 }
@@ -137,10 +139,6 @@
 	if err := proto.Unmarshal(data[bookHeader:], m); err != nil {
 		return nil, err
 	}
-	aged := uint64(max(0, time.Now().UnixMicro()-int64(binary.BigEndian.Uint64(data[8:]))))
-	for _, line := range m.Lines {
-		line.Age += aged
-	}
 	return m, nil
 }
 
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -135,11 +135,11 @@
 		sheet: sheet, orders: &sheet.Standing, log: opts.Log, clock: newClock(), done: make(chan struct{}),
 		record: opts.Record, breach: opts.Break,
 		open: map[logic.TransactionID]*transaction{}, workers: map[logic.WorkerID]*worker{}, votes: map[uint64]bool{},
-		run: strconv.FormatInt(time.Now().UnixMicro(), 36) + "-" + strconv.Itoa(int(sheet.Standing.Position)) + "-",
+		run: strconv.FormatInt(time.Now().UnixMicro(), 36) + "-" + strconv.Itoa(int(sheet.Standing.Position)) + "-", // wall clock: a name
 	}
 	seed := sheet.Post.Seed
 	if seed == 0 {
-		seed = time.Now().UnixNano()
+		seed = time.Now().UnixNano() // wall clock: a seed
 	}
 	s.inbox = newInbox(sheet.Bounds.Inbox, s.clock)
 	s.decide = opts.Decide
