--- a/logic/lease.go
+++ b/logic/lease.go
@@ -25,10 +25,9 @@
 	// what confirms a server, once when it sends.
 	leaseMargin = 300 * millisecond
 
-	// For so many drain graces at the most a server takes new requests after it has begun to drain. The grace is the time in
-	// which all processes stop sending; servers were seen to take requests for 1.4 s after discovery had told, with a grace
-	// of 1.8 s.
-	drainingTakes = 2
+	// So long at the most a server takes new requests after it has begun to drain. No page says how long it is, nor the
+	// settings; servers were seen to do so for 1.4 s after discovery had told, which is some while after they began.
+	drainingTakes = 4 * second
 
 	// Waits between calls for the list, each doubled after the next failure. Discovery takes one call of every process in 2
 	// to 8 s, however many there are (BENCH page, all_call_s), and a call that waited too long has used it up all the same:
@@ -36,7 +35,7 @@
 	// tells nothing of that.
 	firstRetry     = second / 2
 	firstBusyRetry = 4 * second
-	mostRetry      = 16 * second
+	mostRetry      = 8 * second
 )
 
 // lease is what is known of the list's age.
@@ -59,7 +58,7 @@
 
 // unchangedUntil is the last moment at which a server is known not to have begun to drain.
 func (s *Sentry) unchangedUntil(w int) Micros {
-	return max(s.lease.confirmed, s.serverLeases[w].answered-drainingTakes*s.orders.DrainGrace)
+	return max(s.lease.confirmed, s.serverLeases[w].answered-drainingTakes)
 }
 
 // sendBy is the last moment at which a request may be written to a server, 0 if there is no such limit.
--- a/logic/lease_test.go
+++ b/logic/lease_test.go
@@ -78,7 +78,7 @@
 
 const (
 	leaseSpan  = 6*second + testGrace - leaseMargin
-	answerSpan = leaseSpan - drainingTakes*testGrace // of an answer
+	answerSpan = leaseSpan - drainingTakes // of an answer
 )
 
 func TestLeaseOfAList(t *testing.T) {
