--- /dev/null
+++ b/internal/wire/dial.go
@@ -0,0 +1,156 @@
+package wire
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Connections are opened here and given to the dependency once they stand. Its own dialer fails at once where a call is
+// interrupted or the system is short of buffers or ports, and tells each of these as a close by the other side.
+
+const (
+	// Waits before another socket is tried, doubled up to the longest.
+	firstDialWait   = time.Millisecond
+	longestDialWait = 20 * time.Millisecond
+)
+
+// dialCalls are the system calls that open a connection; tests put faults into them.
+type dialCalls struct {
+	socket  func() (int, error)
+	connect func(fd int, to syscall.Sockaddr) error
+}
+
+var dialing atomic.Pointer[dialCalls]
+
+func init() {
+	dialing.Store(&dialCalls{
+		socket: func() (int, error) {
+			return syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+		},
+		connect: syscall.Connect,
+	})
+}
+
+// dial opens a connection within a time.
+func dial(address string, limit time.Duration) (netpoll.Connection, error) {
+	deadline := time.Now().Add(limit)
+	to, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	ip := to.IP.To4()
+	if ip == nil { // the platform has none of these; the dependency knows them
+		return netpoll.NewDialer().DialConnection("tcp", address, limit)
+	}
+	peer := &syscall.SockaddrInet4{Port: to.Port, Addr: [4]byte(ip)}
+	for wait := firstDialWait; ; wait = min(2*wait, longestDialWait) {
+		fd, err := connectSocket(peer, deadline)
+		if err == nil {
+			return adopt(fd)
+		}
+		if !passesInDial(err) || time.Until(deadline) <= wait {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: to, Err: err}
+		}
+		time.Sleep(wait)
+	}
+}
+
+// connectSocket makes one socket and connects it.
+func connectSocket(peer syscall.Sockaddr, deadline time.Time) (int, error) {
+	calls := dialing.Load()
+	fd, err := calls.socket()
+	if err != nil {
+		return -1, os.NewSyscallError("socket", err)
+	}
+	if err = calls.begin(fd, peer); err == syscall.EINPROGRESS {
+		return calls.finish(fd, peer, deadline)
+	}
+	if err != nil {
+		syscall.Close(fd)
+		return -1, os.NewSyscallError("connect", err)
+	}
+	return fd, nil
+}
+
+// begin calls for a connection, again if the call is interrupted: whether the system has begun all the same shows then.
+func (c *dialCalls) begin(fd int, peer syscall.Sockaddr) error {
+	for interrupts := 0; ; interrupts++ {
+		switch err := c.connect(fd, peer); {
+		case err == syscall.EISCONN:
+			return nil
+		case err == syscall.EALREADY:
+			return syscall.EINPROGRESS
+		case err != syscall.EINTR || interrupts >= mostInterrupts:
+			return err
+		}
+	}
+}
+
+// finish waits on the runtime's poller until the connection stands or has failed. The descriptor is the caller's then.
+func (c *dialCalls) finish(fd int, peer syscall.Sockaddr, deadline time.Time) (int, error) {
+	waiting := os.NewFile(uintptr(fd), "")
+	defer waiting.Close()
+	if err := waiting.SetDeadline(deadline); err != nil {
+		return -1, err
+	}
+	raw, err := waiting.SyscallConn()
+	if err != nil {
+		return -1, err
+	}
+	kept, failed := -1, error(nil)
+	err = raw.Write(func(fd uintptr) bool {
+		if _, err := syscall.Getpeername(int(fd)); err != nil {
+			if failed = c.stands(int(fd), peer); failed == syscall.EINPROGRESS {
+				failed = nil
+				return false
+			}
+		}
+		if failed == nil {
+			kept, failed = duplicate(int(fd))
+		}
+		return true
+	})
+	if err == nil && failed != nil {
+		err = os.NewSyscallError("connect", failed)
+	}
+	return kept, err
+}
+
+// stands tells what has become of a connection that has not come up as far as the system says.
+func (c *dialCalls) stands(fd int, peer syscall.Sockaddr) error {
+	code, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ERROR)
+	if err == nil && code != 0 {
+		return syscall.Errno(code)
+	}
+	return c.begin(fd, peer)
+}
+
+// duplicate keeps a connection beyond the file that waits for it.
+func duplicate(fd int) (int, error) {
+	kept, _, errno := syscall.Syscall(syscall.SYS_FCNTL, uintptr(fd), syscall.F_DUPFD_CLOEXEC, 0)
+	if errno != 0 {
+		return -1, errno
+	}
+	return int(kept), nil
+}
+
+// adopt gives a connection that stands to the dependency.
+func adopt(fd int) (netpoll.Connection, error) {
+	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
+	conn, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		syscall.Close(fd)
+	}
+	return conn, err
+}
+
+// passesInDial says of an error that another socket may do better.
+func passesInDial(err error) bool {
+	return passes(err) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -65,6 +65,8 @@
 	ended func(*Link, error)
 	carry []byte // what has not come whole
 	most  int
+	// the other side's address, empty where this side was dialled
+	remote string
 
 	mu       sync.Mutex
 	pending  []byte
@@ -73,7 +75,7 @@
 	dead     bool
 	then     func() // to be called once all is written
 	put      int64  // bytes so far
-	taken    int64  // of these, up to where netpoll was given them to write
+	taken    int64  // of these, up to where the system is being given them
 	written  int64  // and up to where the system has them
 	failed   bool   // what was taken last was not written whole
 	once     sync.Once
@@ -112,11 +114,12 @@
 
 // DialRaw opens a link whose reader takes the bytes as they come.
 func DialRaw(address string, limit time.Duration, b Bounds, read Reader, ended func(*Link, error)) (*Link, error) {
-	conn, err := netpoll.NewDialer().DialConnection("tcp", address, limit)
+	conn, err := dial(address, limit)
 	if err != nil {
 		return nil, err
 	}
 	l := newLink(conn, b, read, ended)
+	l.remote = address
 	if err := conn.SetOnRequest(l.arrived); err != nil {
 		conn.Close()
 		return nil, err
@@ -212,8 +215,8 @@
 	return l.put
 }
 
-// MayHave says whether the other side may have all that was put up to a mark. It has not, as is proven, while netpoll
-// was not given the last byte, or once it has failed to write it: the system never had that byte then.
+// MayHave says whether the other side may have all that was put up to a mark. It has not, as is proven, while the system was
+// not given the last byte, or once it has refused it.
 func (l *Link) MayHave(mark int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -262,17 +265,12 @@
 		l.pending, l.spare = l.spare[:0], nil
 		l.taken = l.put
 		l.mu.Unlock()
-		err := l.hand(out)
-		if err == nil {
-			err = l.conn.Writer().Flush()
-		}
+		err := l.sendAll(out)
 		l.mu.Lock()
 		if cap(out) <= 256<<10 {
 			l.spare = out[:0]
 		}
-		if l.failed = err != nil; !l.failed {
-			l.written = l.taken
-		}
+		l.failed = err != nil
 		l.mu.Unlock()
 		if err != nil {
 			l.Close(fmt.Errorf("write: %w", err))
@@ -281,18 +279,6 @@
 	}
 }
 
-// hand gives netpoll what is to be written. It takes its buffer back when the connection ends, at which it must not be
-// written to; its Flush sees to that itself.
-func (l *Link) hand(out []byte) error {
-	l.fdMu.Lock()
-	defer l.fdMu.Unlock()
-	if l.gone {
-		return net.ErrClosed
-	}
-	_, err := l.conn.Writer().WriteBinary(out)
-	return err
-}
-
 // CloseWhenWritten ends the link for a reason once what waits has been written.
 func (l *Link) CloseWhenWritten(reason error) { l.WhenWritten(func() { l.Close(reason) }) }
 
@@ -365,7 +351,12 @@
 }
 
 // RemoteAddr names the other side.
-func (l *Link) RemoteAddr() string { return l.conn.RemoteAddr().String() }
+func (l *Link) RemoteAddr() string {
+	if l.remote != "" {
+		return l.remote
+	}
+	return l.conn.RemoteAddr().String()
+}
 
 // Server takes connections.
 type Server struct {
