--- a/internal/platform/door.go
+++ b/internal/platform/door.go
@@ -41,6 +41,7 @@
 	begun   time.Time // the command in hand, or the connection where none has come whole
 	spoken  bool      // a whole command has come
 	closing bool      // what comes is not taken any more
+	beyond  bool      // it came beyond the bound: it closes once nothing is owed on it
 	scratch []byte
 }
 
@@ -73,7 +74,8 @@
 }
 
 // enter books a client, and closes one where there are too many: one that has said nothing, else the longest idle; never one
-// that has sent something which is not answered, nor one whose answer waits. It runs on the poller.
+// that has sent something which is not answered, nor one whose answer waits. If there is none, the new one is let go as soon as
+// nothing is owed on it. It runs on the poller.
 func (p *Platform) enter(c *caller) {
 	p.mu.Lock()
 	p.callers[c] = struct{}{}
@@ -106,12 +108,17 @@
 			return
 		}
 	}
+	// All have something open. What this one may have sent is owed an answer: it closes in a turn in which nothing of it is
+	// read or stands unread.
 	c.mu.Lock()
-	c.closing = true
+	c.beyond = true
 	c.mu.Unlock()
-	go c.Close(wire.ErrClosed) // it is not on the poller yet
+	wire.OnPoller(c.part)
 }
 
+// leaves says whether a client is to close as soon as nothing is owed to it. The lock is held.
+func (c *caller) leaves() bool { return c.beyond || c.p.drained() }
+
 // booked lists the clients.
 func (p *Platform) booked() []*caller {
 	p.mu.Lock()
@@ -167,9 +174,9 @@
 	case c.closing || len(c.queue) > 0:
 		return false
 	case c.begun.IsZero():
-		return now.Sub(c.used) > idleMost || c.p.drained()
+		return now.Sub(c.used) > idleMost || c.leaves()
 	case !c.spoken:
-		return now.Sub(c.begun) > silentMost || c.p.drained()
+		return now.Sub(c.begun) > silentMost || c.leaves()
 	}
 	return now.Sub(c.begun) > slowMost
 }
@@ -310,7 +317,7 @@
 	}
 	c.used = time.Now()
 	good, end := c.write()
-	idle := len(c.queue) == 0 && !c.closing && c.p.drained()
+	idle := len(c.queue) == 0 && !c.closing && c.leaves()
 	c.mu.Unlock()
 	c.p.mu.Lock()
 	delete(c.p.ids, id)
--- a/internal/platform/door_test.go
+++ b/internal/platform/door_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"scalechute/internal/input"
 	"scalechute/internal/wire"
 )
 
@@ -171,3 +172,35 @@
 	}
 	c.want("closed")
 }
+
+// Where all clients have something open, a new one beyond the bound is served if it has sent something, and closed then; one
+// that has sent nothing is closed at once. Neither is read and then closed with no answer.
+func TestBeyondTheBound(t *testing.T) {
+	hold := make(chan struct{})
+	r := newRig(t, plan{sockets: 160, workers: []string{worker(t, func(c net.Conn, n int, words []string) {
+		<-hold
+		good(c, n, words)
+	})}, decide: toFirst(func(*input.Input) {}),
+		other: []string{`"deadline_ns":900000000`, `"deadline_ns":20000000000`}})
+	bound := r.p.post.Load().callers()
+	all := make([]testCaller, bound)
+	patient := func(id string) string { return commandOf("Q.ASK", "key-"+id, id, "c=read,t=acme,d=20000") }
+	for i := range all {
+		all[i] = r.dial(t)
+		all[i].say(patient(fmt.Sprint("r", i)))
+	}
+	r.wait("all commands", func() bool { r.p.mu.Lock(); defer r.p.mu.Unlock(); return len(r.p.ids) == bound })
+	release := heldPoller()
+	late := r.dial(t)
+	late.say(patient("late")) // stands in the system as the connection is taken up
+	release()
+	r.wait("its command", func() bool { r.p.mu.Lock(); defer r.p.mu.Unlock(); return len(r.p.ids) == bound+1 })
+	silent := r.dial(t)
+	silent.want("closed")
+	close(hold)
+	late.want("v-late")
+	late.want("closed")
+	for i := range all {
+		all[i].want(fmt.Sprint("v-r", i))
+	}
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -346,8 +346,12 @@
 		return false
 	}
 	var one [1]byte
-	_, _, err := syscall.Recvfrom(fd.Fd(), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN || err == syscall.EINTR
+	for range mostInterrupts {
+		if _, _, err := syscall.Recvfrom(fd.Fd(), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err != syscall.EINTR {
+			return err == syscall.EAGAIN
+		}
+	}
+	return false // it could not be told
 }
 
 // RemoteAddr names the other side.
@@ -380,9 +384,22 @@
 	})
 }
 
+// listenWithin is how long a listener is tried for while the system is short of what it takes.
+const listenWithin = 5 * time.Second
+
+func listen(address string) (net.Listener, error) {
+	for end, wait := time.Now().Add(listenWithin), firstDialWait; ; wait = min(2*wait, longestDialWait) {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || !passesInDial(err) || time.Now().After(end) {
+			return listener, err
+		}
+		time.Sleep(wait)
+	}
+}
+
 // ServeRaw is Serve for readers of bytes.
 func ServeRaw(address string, b Bounds, accept func(*Link) (Reader, func(*Link, error))) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
