--- a/logic/lease_test.go
+++ b/logic/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"testing"
 )
 
@@ -227,3 +228,82 @@
 		t.Errorf("processes wait %v to %v, expected them spread", shortest, longest)
 	}
 }
+
+// A process that loses discovery for 40 s goes on serving by servers that answer it, at any rate of requests.
+func TestServiceThroughALongOutage(t *testing.T) {
+	const lost, end = 10 * second, 50 * second
+	// At 2 a second a pause may be longer than the lease of an answer.
+	for perSecond, least := range map[float64]float64{2: 0.9, 7: 0.97, 20: 0.97} {
+		o := newLeased(t, nil).s.orders
+		o.Sentries, o.MostHandOffs = 100, 3
+		f := &outageFleet{s: New(o, 3), chance: rand.New(rand.NewSource(1)), now: 1000 * second, opened: map[WorkerID]Micros{}}
+		start := f.now
+		var list []Worker
+		for i := range 60 {
+			list = append(list, Worker{ID: WorkerID(fmt.Sprint("s-", i)), Build: 10, Size: 1})
+		}
+		f.take(f.s.Listed(f.now, ListWhole, list))
+		f.take(f.s.Told(f.now, News{Valid: true, Build: 10, Phase: Released, Cap: 1}))
+		for next := f.now; f.now < start+end; f.now += millisecond {
+			if f.now < start+lost && f.now%(2*second) == 0 {
+				f.take(f.s.Listed(f.now, ListChanges, nil)) // a sign of life
+			}
+			if f.now >= next {
+				f.arrive()
+				next = f.now + Micros(f.chance.ExpFloat64()/perSecond*float64(second))
+			}
+			f.step()
+		}
+		if share := float64(f.served) / float64(f.came); share < least {
+			t.Errorf("at %v requests a second: %.3f of %d served, expected %v at the least", perSecond, share, f.came, least)
+		}
+	}
+}
+
+// outageFleet answers each attempt some time after it was made, over one connection to each server.
+type outageFleet struct {
+	s            *Sentry
+	chance       *rand.Rand
+	now          Micros
+	opened       map[WorkerID]Micros
+	out          []outageAttempt
+	came, served int
+}
+
+type outageAttempt struct {
+	ends Micros
+	made Ruling
+}
+
+func (f *outageFleet) arrive() {
+	f.came++
+	f.take(f.s.Arrive(f.now, Transaction{ID: TransactionID(fmt.Sprint(f.came)), Account: NoAccount, Limit: f.now + 2*second}))
+}
+
+func (f *outageFleet) take(r Result) {
+	for _, x := range r.Rulings {
+		if x.Kind != HandOff {
+			continue
+		}
+		if _, open := f.opened[x.Worker]; !open {
+			f.opened[x.Worker] = f.now
+		}
+		f.out = append(f.out, outageAttempt{f.now + 60*millisecond + Micros(f.chance.Intn(60_000)), x})
+	}
+}
+
+// step ends the attempts whose time has come.
+func (f *outageFleet) step() {
+	due := f.out
+	f.out = nil
+	for _, a := range due {
+		if a.ends > f.now {
+			f.out = append(f.out, a)
+			continue
+		}
+		f.served++
+		f.take(f.s.HandOffEnded(f.now, HandOffEnd{Transaction: a.made.Transaction, Worker: a.made.Worker, Ending: Answered, Closed: true,
+			Load: NoLoad, Opened: f.opened[a.made.Worker], Took: 80 * millisecond}))
+	}
+	f.take(f.s.Wake(f.now))
+}
