--- a/logic/lease.go
+++ b/logic/lease.go
@@ -69,11 +69,11 @@
 	}
 	unchanged := s.unchangedUntil(w)
 	told := unchanged + o.NoticeWithin
-	switch l := &s.lease; {
-	case l.pushLost > 0: // what discovery has counts as told at once
-		told = max(unchanged, l.pushLost)
-	case l.unsure > unchanged:
-		told = min(told, l.unsure)
+	if lost := s.lease.pushLost; lost > 0 { // what discovery has counts as told at once
+		told = max(unchanged, lost)
+	}
+	if unsure := s.lease.unsure; unsure > unchanged {
+		told = min(told, unsure)
 	}
 	return max(1, told+o.DrainGrace-leaseMargin)
 }
--- a/logic/lease_test.go
+++ b/logic/lease_test.go
@@ -197,6 +197,11 @@
 	l.at(3*second).s.AskFailed(l.now, false)
 	l.at(4*second).s.AskFailed(l.now, false)
 	l.lasts(3*second + testGrace - leaseMargin)
+
+	l = newLeased(t, func(o *StandingOrders) { o.AskForList = false })
+	l.at(2*second).s.ListUnsure(l.now, l.now) // begun to come, and then broken off
+	l.at(3*second).s.AskFailed(l.now, false)
+	l.lasts(2*second + testGrace - leaseMargin)
 	l.list(ListChanges)
 	l.lasts(l.now - l.start + leaseSpan)
 }
