--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"time"
 
+	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
 	"scalechute/logic"
 )
@@ -69,8 +70,9 @@
 
 func newDiscovery(p *Platform, address string) *discovery {
 	return &discovery{p: p, address: address, client: http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: reachMost}).DialContext, DisableKeepAlives: true,
-		ReadBufferSize: 4 << 10, WriteBufferSize: 1 << 10}}}
+		DialContext:       func(_ context.Context, _, address string) (net.Conn, error) { return wire.DialConn(address, reachMost) },
+		DisableKeepAlives: true,
+		ReadBufferSize:    4 << 10, WriteBufferSize: 1 << 10}}}
 }
 
 // ask asks for the whole list once or sees to it that a watch stands. It is called on the loop, as are all but read.
--- a/internal/wire/dial.go
+++ b/internal/wire/dial.go
@@ -39,23 +39,37 @@
 
 // dial opens a connection within a time.
 func dial(address string, limit time.Duration) (netpoll.Connection, error) {
+	fd, err := open(address, limit)
+	if errors.Is(err, errNotIPv4) { // the platform has none of these; the dependency knows them
+		return netpoll.NewDialer().DialConnection("tcp", address, limit)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return adopt(fd)
+}
+
+var errNotIPv4 = errors.New("found an address that is not of IPv4")
+
+// open gives the descriptor of a connection that stands.
+func open(address string, limit time.Duration) (int, error) {
 	deadline := time.Now().Add(limit)
 	to, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
-		return nil, err
+		return -1, err
 	}
 	ip := to.IP.To4()
-	if ip == nil { // the platform has none of these; the dependency knows them
-		return netpoll.NewDialer().DialConnection("tcp", address, limit)
+	if ip == nil {
+		return -1, errNotIPv4
 	}
 	peer := &syscall.SockaddrInet4{Port: to.Port, Addr: [4]byte(ip)}
 	for wait := firstDialWait; ; wait = min(2*wait, longestDialWait) {
 		fd, err := connectSocket(peer, deadline)
 		if err == nil {
-			return adopt(fd)
+			return fd, nil
 		}
 		if !passesInDial(err) || time.Until(deadline) <= wait {
-			return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: to, Err: err}
+			return -1, &net.OpError{Op: "dial", Net: "tcp", Addr: to, Err: err}
 		}
 		time.Sleep(wait)
 	}
@@ -154,3 +168,14 @@
 func passesInDial(err error) bool {
 	return passes(err) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
 }
+
+// DialConn opens a connection for a library that reads and writes by itself, by the same calls.
+func DialConn(address string, limit time.Duration) (net.Conn, error) {
+	fd, err := open(address, limit)
+	if err != nil {
+		return nil, err
+	}
+	file := os.NewFile(uintptr(fd), "")
+	defer file.Close() // the connection has a descriptor of its own
+	return net.FileConn(file)
+}
