Failing tests: SIGKILL at the protocol's earliest finds requests unanswered; soak of the process

Seen: the real process, 20 clients that keep 4 or 8 requests open on a connection, SIGTERM, SIGKILL 1.6 s later (deadline 900 ms): the kill finds 9 to 18 of 20 connections with requests unanswered that came over 0.7 s after SIGTERM. With 1 or 2 open none in these runs.

--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -33,7 +33,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(sentryCommand(), checkCommand(), drillCommand(), matchCommand(), measureCommand(), planCommand())
+	c.AddCommand(sentryCommand(), checkCommand(), drillCommand(), matchCommand(), measureCommand(), planCommand(), soakCommand())
 	return c
 }
 
--- /dev/null
+++ b/internal/soak/audit.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+)
+
+// Fate is what became of a request.
+type Fate uint8
+
+// The fates of a request. Those from late on break a promise.
+const (
+	unanswered  Fate = iota // to be told by how its connection ended
+	unsent                  // not written whole
+	served                  // by its own answer
+	refused                 // a later try is harmless
+	failed                  // answered, not served
+	unread                  // the process did not read it, and its client sees that
+	cut                     // found by the kill, and so old that the protocol allows it
+	late                    // answered after its deadline and the half second
+	wrongAnswer             // got another request's answer
+	dropped                 // read, or come, and its connection ended by the process with no answer
+	killed                  // found unanswered by the kill
+	fates
+)
+
+var fateNames = [fates]string{"unanswered", "unsent", "served", "refused", "failed", "unread", "cut", "late", "wrong answer", "dropped", "killed"}
+
+func (f Fate) String() string { return fateNames[f] }
+
+// Breach is a broken promise that is no request's fate.
+type Breach string
+
+// The breaches.
+const (
+	malformedAnswer      Breach = "an answer that can't be read"
+	answerWithoutRequest Breach = "an answer without a request"
+	crash                Breach = "the process ended without SIGTERM"
+	notEnded             Breach = "the process had not ended when the kill was due"
+)
+
+// Result is what one run came to.
+type Result struct {
+	Plan        *Plan
+	Requests    [fates]int
+	Breaches    map[Breach]int
+	Connections int             // that ended
+	Lost        int             // of these, such with a request dropped or found by the kill
+	Ended       []time.Duration // after SIGTERM, in each life
+	Examples    []string        // the first few requests with a broken promise
+}
+
+// Good says that no promise was broken.
+func (r *Result) Good() bool {
+	for f := late; f < fates; f++ {
+		if r.Requests[f] > 0 {
+			return false
+		}
+	}
+	return len(r.Breaches) == 0
+}
+
+func (r *Result) String() string {
+	text := r.Plan.String() + ";"
+	for f := unsent + 1; f < fates; f++ {
+		text += fmt.Sprintf(" %v %d,", f, r.Requests[f])
+	}
+	text += fmt.Sprintf(" connections %d, with a loss %d; ended", r.Connections, r.Lost)
+	for _, d := range r.Ended {
+		text += fmt.Sprintf(" %.2f", d.Seconds())
+	}
+	text += fmt.Sprintf(" s after SIGTERM, kill due at %.2f", r.Plan.killAfter().Seconds())
+	for b, n := range r.Breaches {
+		text += fmt.Sprintf("; %s (%d)", b, n)
+	}
+	return text
+}
+
+// mostExamples is how many broken promises are told of one by one.
+const mostExamples = 5
+
+// audit tells what became of the requests of a connection that has ended.
+func (x *run) audit(c *connection, e ending) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	lost := false
+	for _, r := range c.all {
+		if r.fate == unanswered {
+			r.fate = x.fate(r, e)
+		}
+		x.result.Requests[r.fate]++
+		lost = lost || r.fate == dropped || r.fate == killed
+		if r.fate >= late && len(x.result.Examples) < mostExamples {
+			x.result.Examples = append(x.result.Examples, fmt.Sprintf("%s (open %d): %v; sent %.3f s, connection ended %.3f s, after SIGTERM; reset %v, %d attempts",
+				r.id, c.plan.Open, r.fate, r.sent.Sub(x.terminated).Seconds(), e.at.Sub(x.terminated).Seconds(), e.reset, x.seen.of(r.id)))
+		}
+	}
+	x.result.Connections++
+	if lost {
+		x.result.Lost++
+	}
+}
+
+// fate tells what became of a request that has no answer. One that a server saw was read. One that had come to the process's
+// machine was read too, unless the close drew a reset, as it does over what is unread.
+func (x *run) fate(r *request, e ending) Fate {
+	switch {
+	case x.killedAt != (time.Time{}) && !e.at.Before(x.killedAt):
+		if r.sent.Sub(x.terminated) > lostFrom {
+			return killed
+		}
+		return cut
+	case x.seen.of(r.id) > 0:
+		return dropped
+	case e.acked >= r.end && !e.reset:
+		return dropped
+	}
+	return unread
+}
+
+// note counts a breach.
+func (x *run) note(b Breach) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.result.Breaches[b]++
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,160 @@
+// Package soak plays the real program against stand-in clients, servers and discovery on loopback while it is sent SIGHUP and
+// SIGTERM in series, and audits on the sockets what became of every request. Clients go on using the connections that they
+// have for as long as these stay open, and SIGKILL comes at the earliest time that the platform's protocol allows.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// What the platform's protocol states about a planned restart.
+const (
+	// SIGKILL comes no sooner than the longest deadline and this much after SIGTERM.
+	killAfterDeadline = 700 * time.Millisecond
+	// A longer deadline counts as this long.
+	longestCountedDeadline = 3 * time.Second
+	// What the kill finds unanswered is lost if it came so long after SIGTERM.
+	lostFrom = 700 * time.Millisecond
+	// New connections go on coming for this long after SIGTERM, at the least and at the most.
+	leastNewConnections = 200 * time.Millisecond
+	mostNewConnections  = 400 * time.Millisecond
+	// An answer that is later than its deadline by this much is lost.
+	lateBy = 500 * time.Millisecond
+)
+
+// Plan is one run, drawn from its seed.
+type Plan struct {
+	Seed        uint64
+	Deadline    time.Duration // of every request
+	Servers     []ServerPlan
+	Clients     []ClientPlan
+	Descriptors int
+	Lives       []LifePlan // one for each start of the process
+	Break       string     // how the process is to break a promise, empty if not at all
+}
+
+// ServerPlan is how one server answers.
+type ServerPlan struct {
+	Quick        time.Duration // how long most answers take
+	Slow         time.Duration
+	SlowPerMille uint64
+	Hang         time.Duration // longer than any deadline
+	HangPerMille uint64
+}
+
+// ClientPlan is how one client behaves.
+type ClientPlan struct {
+	Open      int           // requests that it keeps open on its connection
+	Pause     time.Duration // before the next request, at the most
+	Piece     int           // bytes that it writes at a time, 0 for whole commands
+	Body      int           // bytes of a request's body
+	Answer    int           // bytes of an answer
+	ReadDelay time.Duration // before each read, at the most
+}
+
+// LifePlan is one life of the process, counted from when it was ready.
+type LifePlan struct {
+	Reloads   []time.Duration // SIGHUP
+	Terminate time.Duration   // SIGTERM
+	Repeats   []time.Duration // after it: further SIGTERM
+	ReloadsIn []time.Duration // after it: further SIGHUP
+}
+
+// Bounds of what is drawn.
+const (
+	mostClients     = 20
+	mostOpen        = 32
+	mostPause       = 50 * time.Millisecond
+	greatestValue   = 64 << 10
+	crowdClients    = 300
+	fewDescriptors  = 256
+	manyDescriptors = 1024
+	crowdOneIn      = 3
+)
+
+// Draw makes the plan of a seed.
+func Draw(seed uint64) *Plan {
+	r := rand.New(rand.NewPCG(seed, 0))
+	p := &Plan{Seed: seed, Descriptors: manyDescriptors, Deadline: []time.Duration{600, 900, 900, 1500, 5000}[r.IntN(5)] * time.Millisecond}
+	for range 2 + r.IntN(4) {
+		p.Servers = append(p.Servers, drawServer(r))
+	}
+	for range 4 + r.IntN(mostClients-3) {
+		p.Clients = append(p.Clients, drawClient(r))
+	}
+	if seed%crowdOneIn == 0 {
+		p.Descriptors = fewDescriptors
+		for range crowdClients {
+			p.Clients = append(p.Clients, ClientPlan{Open: 1, Pause: mostPause, Answer: 64})
+		}
+	}
+	for range 1 + r.IntN(2) {
+		p.Lives = append(p.Lives, drawLife(r))
+	}
+	return p
+}
+
+func drawServer(r *rand.Rand) ServerPlan {
+	return ServerPlan{Quick: time.Millisecond, Slow: 250 * time.Millisecond, SlowPerMille: r.Uint64N(100),
+		Hang: 2 * time.Second, HangPerMille: r.Uint64N(30)}
+}
+
+func drawClient(r *rand.Rand) ClientPlan {
+	c := ClientPlan{Open: []int{1, 2, 4, 8, mostOpen}[r.IntN(5)], Answer: 64}
+	if r.IntN(2) == 0 {
+		c.Pause = time.Duration(r.Int64N(int64(mostPause)))
+	}
+	if r.IntN(4) == 0 {
+		c.Piece = 1 + r.IntN(40)
+	}
+	switch r.IntN(6) {
+	case 0:
+		c.Answer = 1 + r.IntN(greatestValue-64)
+	case 1:
+		c.Body = 1 + r.IntN(greatestValue)
+		c.Piece *= 1024
+	}
+	if r.IntN(5) == 0 {
+		c.ReadDelay = time.Duration(r.Int64N(int64(100 * time.Millisecond)))
+	}
+	return c
+}
+
+func drawLife(r *rand.Rand) LifePlan {
+	var l LifePlan
+	l.Terminate = 300*time.Millisecond + time.Duration(r.Int64N(int64(700*time.Millisecond)))
+	for range r.IntN(4) {
+		l.Reloads = append(l.Reloads, time.Duration(r.Int64N(int64(l.Terminate))))
+	}
+	for range r.IntN(3) {
+		l.ReloadsIn = append(l.ReloadsIn, time.Duration(r.Int64N(int64(time.Second))))
+	}
+	if r.IntN(3) == 0 {
+		l.Repeats = append(l.Repeats, time.Duration(r.Int64N(int64(time.Second))))
+	}
+	return l
+}
+
+// killAfter is when SIGKILL comes, after SIGTERM.
+func (p *Plan) killAfter() time.Duration {
+	return min(p.Deadline, longestCountedDeadline) + killAfterDeadline
+}
+
+func (p *Plan) String() string {
+	return fmt.Sprintf("seed %d: %d clients, %d servers, deadline %v, %d descriptors, %d lives",
+		p.Seed, len(p.Clients), len(p.Servers), p.Deadline, p.Descriptors, len(p.Lives))
+}
+
+// Pipelines is a plan of clients that keep the same number of requests open on a connection, with one life and no reloads.
+func Pipelines(seed uint64, clients, open int, pause time.Duration) *Plan {
+	p := &Plan{Seed: seed, Deadline: 900 * time.Millisecond, Descriptors: manyDescriptors, Lives: []LifePlan{{Terminate: 2 * time.Second}}}
+	for range 4 {
+		p.Servers = append(p.Servers, ServerPlan{Quick: time.Millisecond, Slow: 250 * time.Millisecond, SlowPerMille: 2, Hang: 2 * time.Second, HangPerMille: 1})
+	}
+	for range clients {
+		p.Clients = append(p.Clients, ClientPlan{Open: open, Pause: pause, Answer: 64})
+	}
+	return p
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// settings are the platform's, with one class whose deadline is to be filled in twice.
+const settings = `{"azs":["here"],"zone":"here","replicas_of_me":1,"position":0,"registry_mode":"on_request","granularity_ns":5000000,
+ "categories":[{"name":"read","aim_ns":%d,"deadline_ns":%d,"effect":"retryable","value":1}],
+ "limits":{"max_attempts":3,"connect_timeout_ns":250000000,"idle_close_ns":30000000000,"streams_per_conn":32,"retry_after":true,
+ "max_retry_after_ns":1000000000},
+ "rules":{"ask_within_ns":8000000000,"drain_grace_ns":2000000000,"warm_up_ns":1000000000,"fall_multiple":4,"fall_ns":2000000000}}`
+
+// readyWithin is how long a start may take.
+const readyWithin = 10 * time.Second
+
+// process is one life of the program.
+type process struct {
+	command *exec.Cmd
+	ended   chan struct{} // closed once it has ended
+}
+
+// configure writes the configuration's file.
+func configure(file string, p *Plan, listen, discovery, list string) error {
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":2,"memory_mb":64,
+ "sockets":%d},"release_api":{"address":"127.0.0.1:1"},"known":%s,"settings":%s}`, listen, discovery, p.Descriptors, list,
+		fmt.Sprintf(settings, p.Deadline/3, p.Deadline))
+	return os.WriteFile(file, []byte(text), 0o600)
+}
+
+// start runs the program and waits until it answers.
+func start(program []string, p *Plan, file, address string, log io.Writer) (*process, error) {
+	arguments := append(program[1:len(program):len(program)], "sentry", "--platform")
+	if p.Break != "" {
+		arguments = append(arguments, "--break", p.Break)
+	}
+	x := &process{command: exec.Command(program[0], arguments...), ended: make(chan struct{})}
+	x.command.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+	x.command.Stderr = log
+	if err := x.command.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		x.command.Wait()
+		close(x.ended)
+	}()
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ready(address) {
+			return x, nil
+		}
+	}
+	x.kill()
+	return nil, fmt.Errorf("found no answer within %v of the start, expected +PONG", readyWithin)
+}
+
+// ready says whether the process answers.
+func ready(address string) bool {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	io.WriteString(c, "*1\r\n$4\r\nPING\r\n")
+	line := make([]byte, len("+PONG\r\n"))
+	_, err = io.ReadFull(c, line)
+	return err == nil
+}
+
+func (x *process) signal(s syscall.Signal) { x.command.Process.Signal(s) }
+
+func (x *process) kill() {
+	x.signal(syscall.SIGKILL)
+	<-x.ended
+}
+
+// freeAddress is one where nobody listens.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// configurationFile is where a run's configuration stands.
+func configurationFile(dir string) string { return filepath.Join(dir, "config.json") }
