A client that reads is never closed for how much waits for it

Callers saw: a client that reads lost its connection and every answer owed: 40 reads of 60 KiB on a connection, the first answer 250 ms late, in each run; on frames after a burst of answers in 6 of 48 runs, 8 at once (TestFullInboxStopsReading). Cause, one for both: Link.add refused an answer while more than a bound waited, and Sentry.put closed the connection for it. What waits is what this process has put since the link's writer had a turn. Ruled out: a socket that took nothing. Why it holds: nothing that this process does in a burst can look like a client that does not read; memory is bounded by what is read and begun (docs/design.md).

--- a/internal/platform/door.go
+++ b/internal/platform/door.go
@@ -23,6 +23,12 @@
 	// Commands of one connection that wait for their answers at the most.
 	mostBehind = 64
 	lookEvery  = 100 * time.Millisecond
+	// A client for which more waits is read no further until half of it has gone, in bytes.
+	mostWaiting = 1 << 20
+	// Over how many answers the mean of their bytes is taken.
+	meanAnswerOver = 16
+	// What an entry of a client's queue takes beside its text, in bytes.
+	replyOverhead = 64
 )
 
 // caller is one client's connection. Its commands are answered in their order.
@@ -43,18 +49,23 @@
 	stopped bool      // nothing is read beyond the command in part
 	ending  bool      // nothing is owed on it, and its end has begun
 	scratch []byte
+	// of a client that is idle and has yet to take an answer; the poller's
+	progress wire.Progress
 }
 
 type reply struct {
 	id   string // of the transaction, empty if it is none
 	text []byte
 	done bool
+	held bool // its link was told of it
 }
 
+func (r *reply) size() int { return replyOverhead + len(r.text) }
+
 // Open listens for clients.
 func (p *Platform) Open(s *sentry.Sentry) (string, error) {
 	p.sentry = s
-	server, err := wire.ServeRaw(p.post.Load().Sheet.Post.Listen, wire.Bounds{Frame: mostValue, Pending: mostAnswer},
+	server, err := wire.ServeRaw(p.post.Load().Sheet.Post.Listen, wire.Bounds{Frame: mostValue, Pending: mostWaiting, Budget: p.budget},
 		func(l *wire.Link) (wire.Reader, func(*wire.Link, error)) {
 			now := time.Now()
 			c := &caller{Link: l, p: p, used: now, begun: now, reader: resp.Reader{Bounds: commandBounds, Commands: true}}
@@ -186,7 +197,9 @@
 	c.mu.Lock()
 	late := !c.begun.IsZero() && now.Sub(c.begun) > silentMost
 	c.mu.Unlock()
-	c.CloseUnread(wire.ErrClosed, late)
+	if !c.CloseUnread(wire.ErrClosed, late) && c.Stalled(&c.progress, now) {
+		c.Close(wire.ErrSlowReader)
+	}
 }
 
 // read takes the commands that have come. A client that is to leave is read no further than that.
@@ -230,6 +243,7 @@
 func (c *caller) refuse(line string, end bool) {
 	c.mu.Lock()
 	c.queue = append(c.queue, reply{text: resp.AppendLine(nil, resp.Kind(line[0]), line[1:]), done: true})
+	c.hold(&c.queue[len(c.queue)-1])
 	if end {
 		c.closing = true
 	}
@@ -260,6 +274,10 @@
 		return
 	}
 	c.scratch = x.ask.Payload
+	if !c.p.fits() {
+		c.refuse("-BUSY", false)
+		return
+	}
 	id := string(x.id)
 	if !c.p.claim(id) {
 		c.refuse("-ERR found the id of an open request, expected a new one", false)
@@ -272,6 +290,21 @@
 	c.ear.Asked(&x.ask)
 }
 
+// fits says whether the answers that wait for clients and those that are to be expected leave room for one more.
+func (p *Platform) fits() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int64(len(p.ids)+1)*p.meanAnswer <= p.budget.Left()
+}
+
+// answered forgets an open id, and learns how great answers are.
+func (p *Platform) answered(id string, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.ids, id)
+	p.meanAnswer += (int64(bytes) - p.meanAnswer) / meanAnswerOver
+}
+
 // claim books an id that is not in use.
 func (p *Platform) claim(id string) bool {
 	p.mu.Lock()
@@ -308,13 +341,13 @@
 	default:
 		r.text = resp.AppendLine(r.text, resp.Fault, "ERR written off")
 	}
+	c.hold(r)
+	size := len(r.text)
 	c.used = time.Now()
 	good := c.write()
 	idle := len(c.queue) == 0 && !c.stopped && c.leaves()
 	c.mu.Unlock()
-	c.p.mu.Lock()
-	delete(c.p.ids, id)
-	c.p.mu.Unlock()
+	c.p.answered(id, size)
 	if idle {
 		c.WhenWritten(func() { wire.OnPoller(c.part) })
 	}
@@ -322,12 +355,24 @@
 	return good
 }
 
+// hold tells the link of an answer that has to wait for those before it. The lock is held.
+func (c *caller) hold(r *reply) {
+	if r != &c.queue[0] {
+		r.held = true
+		c.Hold(r.size())
+	}
+}
+
 // write gives the link the answers whose turn it is. The lock is held.
 func (c *caller) write() (good bool) {
 	n := 0
 	good = true
 	for n < len(c.queue) && c.queue[n].done {
-		good = c.PutRaw(c.queue[n].text) && good
+		r := &c.queue[n]
+		good = c.PutRawOwed(r.text) && good
+		if r.held {
+			c.Hold(-r.size())
+		}
 		n++
 	}
 	c.first += uint64(n)
--- a/internal/platform/great_answers_test.go
+++ b/internal/platform/great_answers_test.go
@@ -13,6 +13,11 @@
 
 // A client writes many reads on one connection and reads all the time. The first answer comes 250 ms after the others, which
 // are great and have to wait for it: then all are written at once. Each answer has to arrive, in its turn.
+//
+// What happened: the process closed the connection, and none of the answers arrived; its log said that the other side does not
+// read. Why: the link took no more than 2 MiB that wait to be written, and all answers are put before its writer has a turn.
+// The evidence: 40 answers of 60 KiB, 60 of 40 KiB and 4 of 900 KiB failed in each run, 60 of 20 KiB and 3 of 900 KiB passed:
+// those over 2 MiB in all. It is the cause of TestFullInboxStopsReading, without any luck needed.
 func TestGreatAnswersBehindASlowOne(t *testing.T) {
 	for name, c := range map[string]struct{ requests, bytes int }{
 		"40 of 60 KiB": {40, 60 << 10},
@@ -39,3 +44,41 @@
 		})
 	}
 }
+
+// Once what waits for clients takes the memory that there is for it, further commands are refused, and no connection closes
+// with something owed on it. A client that reads is served again.
+func TestBusyAtTheBudget(t *testing.T) {
+	const bytes, requests = 60 << 10, 60
+	filler := strings.Repeat("x", bytes)
+	r := newRig(t, plan{other: []string{`"memory_mb":64`, `"memory_mb":4`}, decide: toFirst(func(*input.Input) {}), workers: []string{worker(t, func(conn net.Conn, _ int, words []string) {
+		io.WriteString(conn, answer(words[2]+"-"+filler))
+	})}})
+	clients := make([]testCaller, 16)
+	for i := range clients { // none reads
+		clients[i] = r.dial(t)
+		for n := range requests {
+			clients[i].say(read(fmt.Sprintf("c%d.%d", i, n)))
+		}
+		r.wait("their ends", func() bool { r.p.mu.Lock(); defer r.p.mu.Unlock(); return len(r.p.ids) == 0 })
+	}
+	if left, most := r.p.budget.Left(), r.p.post.Load().MemoryMB<<20/answersShare; left < -most/4 {
+		t.Errorf("%d bytes wait over the budget of %d", -left, most)
+	}
+	refused := 0
+	for i, c := range clients {
+		for n := range requests {
+			switch got := c.line(); {
+			case got == fmt.Sprintf("c%d.%d-%s", i, n, filler):
+			case strings.HasPrefix(got, "-BUSY"):
+				refused++
+			default:
+				t.Fatalf("client %d, answer %d: %.40q", i, n, got)
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("nothing was refused, though the answers were more than the memory that there is for them")
+	}
+	clients[0].say(read("after"))
+	clients[0].want("after-")
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -31,15 +31,21 @@
 	drainLongest atomic.Int64
 	wall         *clock.Wall
 
-	mu      sync.Mutex
-	callers map[*caller]struct{}
-	ids     map[string]struct{} // of open transactions
+	mu         sync.Mutex
+	budget     *wire.Budget // of what waits for clients
+	callers    map[*caller]struct{}
+	ids        map[string]struct{} // of open transactions
+	meanAnswer int64               // bytes of an answer
 }
 
+// answersShare is the part of the memory that answers may take which wait for clients.
+const answersShare = 4
+
 // New makes the ends that a configuration asks for.
 func New(post *Post, log zerolog.Logger) (*Platform, error) {
 	p := &Platform{log: log, wall: post.wall, done: make(chan struct{}), callers: map[*caller]struct{}{}, ids: map[string]struct{}{}}
 	p.post.Store(post)
+	p.budget = wire.NewBudget(post.MemoryMB << 20 / answersShare)
 	p.discovery = newDiscovery(p, post.Discovery)
 	p.desk = &desk{p: p, address: post.Desk, wake: make(chan struct{}, 1)}
 	var err error
--- a/internal/sentry/ends.go
+++ b/internal/sentry/ends.go
@@ -33,7 +33,7 @@
 
 // Caller is a connection of a client or of a peer.
 type Caller interface {
-	Answer(*wire.Answer) bool // false if nothing of it will ever leave
+	Answer(*wire.Answer) bool // false if the connection has ended
 	Flush()
 	Dead() bool
 	Close(reason error)
@@ -277,7 +277,7 @@
 // frameCaller is a Caller on frames.
 type frameCaller struct{ *wire.Link }
 
-func (f frameCaller) Answer(a *wire.Answer) bool { return f.Put(wire.KindAnswer, a) }
+func (f frameCaller) Answer(a *wire.Answer) bool { return f.PutOwed(wire.KindAnswer, a) }
 
 // frameWay is a Way on frames: hand-offs in any order, and a worker told of what is given up.
 type frameWay struct {
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -725,15 +725,12 @@
 	}
 }
 
-// put has an answer written at the end of the batch. A client that does not read is let go.
+// put has an answer written at the end of the batch. How much waits for a client by then is no reason to let it go: the links
+// judge by the client's socket whether it reads, and stop reading from one for which much waits.
 func (s *Sentry) put(c *client, a *wire.Answer) {
-	if !c.link.Answer(a) {
-		if !c.link.Dead() {
-			c.link.Close(wire.ErrSlowReader)
-		}
-		return
+	if c.link.Answer(a) {
+		s.dirty = append(s.dirty, c.link)
 	}
-	s.dirty = append(s.dirty, c.link)
 }
 
 // flusher is what has something to be written.
--- a/internal/sentry/sentry_test.go
+++ b/internal/sentry/sentry_test.go
@@ -639,6 +639,12 @@
 }
 
 // A full inbox stops the reading; nothing is dropped.
+//
+// This test failed now and then: the client got no answer in 3 s. What happened: the process closed its connection, with "the
+// other side does not read" in the log, though the client read all the time. Why: a link refused an answer once more than a
+// bound (here 16 KiB) waited to be written, and the sentry took that for a client that does not read. But what waits grows by
+// what the loop puts, and the link's writer may not have had a turn since: once the inbox is free the loop answers hundreds
+// of requests in one go. The evidence: 6 of 48 runs, 8 at once, failed, each with that line and no send that waited.
 func TestFullInboxStopsReading(t *testing.T) {
 	r := newRig(t, rigPlan{inbox: 64})
 	r.worker("w", good)
--- a/internal/wire/detach.go
+++ b/internal/wire/detach.go
@@ -150,7 +150,7 @@
 // StopReading has nothing more read than the rest of the message that has come in part. It is called on the poller. missing
 // gives the bytes that a part lacks at the least. False says that the system can't do it now.
 func (l *Link) StopReading(missing func(part []byte) int) bool {
-	l.missing = missing
+	l.missing, l.stopped = missing, true
 	mode := readNone
 	if len(l.carry) > 0 {
 		mode = readRest
@@ -158,6 +158,28 @@
 	return l.detach(mode)
 }
 
+// attach gives a detached link back to the dependency, on the poller.
+func (l *Link) attach() {
+	l.fdMu.Lock()
+	if l.gone || !l.detached {
+		l.fdMu.Unlock()
+		return
+	}
+	theWatcher().drop(l)
+	conn, err := netpoll.NewFDConnection(l.fd)
+	if err != nil || !conn.IsActive() { // the dependency has closed the socket
+		l.gone = true
+		l.fdMu.Unlock()
+		l.over(err)
+		l.closed()
+		return
+	}
+	l.conn, l.detached = conn, false
+	l.fdMu.Unlock()
+	l.adopt(conn)
+	_ = conn.SetOnRequest(l.arrivedOn) // nothing can have come before the poller's next turn
+}
+
 // EndReading has nothing more read at all, after StopReading. It waits for a read in hand.
 func (l *Link) EndReading() {
 	l.readMu.Lock()
--- /dev/null
+++ b/internal/wire/flow_test.go
@@ -0,0 +1,104 @@
+package wire
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// answering is a server that owes a great answer to each byte that it reads.
+func answering(t *testing.T, b Bounds, bytes int) (address string, read *atomic.Int64, ended chan error) {
+	t.Helper()
+	read, ended = &atomic.Int64{}, make(chan error, 10)
+	answer := make([]byte, bytes)
+	server, err := ServeRaw("127.0.0.1:0", b, func(*Link) (Reader, func(*Link, error)) {
+		return func(l *Link, data []byte) ([]byte, error) {
+			for range data {
+				if !l.PutRawOwed(answer) {
+					t.Error("an answer was refused on a link that stands")
+				}
+			}
+			read.Add(int64(len(data)))
+			l.Flush()
+			return nil, nil
+		}, func(_ *Link, reason error) { ended <- reason }
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return server.Address, read, ended
+}
+
+// From a client for which much waits nothing more is read, whatever it sends; once it reads, it gets everything, and is read
+// again.
+func TestReadingStopsWhileMuchWaits(t *testing.T) {
+	const answer, requests, most = 64 << 10, 400, 1 << 20
+	budget := NewBudget(most)
+	address, read, _ := answering(t, Bounds{Pending: most, Budget: budget}, answer)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	go func() {
+		for range requests {
+			conn.Write([]byte("x"))
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	settled := int64(-1)
+	for now := read.Load(); now != settled; now = read.Load() {
+		settled = now
+		time.Sleep(300 * time.Millisecond)
+	}
+	if settled == requests || budget.Left() > 0 || budget.Left() < -most {
+		t.Errorf("%d of %d requests were read, %d bytes of the budget are left", settled, requests, budget.Left())
+	}
+	conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if n, err := io.CopyN(io.Discard, conn, requests*answer); err != nil {
+		t.Fatalf("%d of %d bytes: %v", n, requests*answer, err)
+	}
+	for end := time.Now().Add(time.Second); budget.Left() != most; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes of the budget are left at the end, expected all", budget.Left())
+		}
+	}
+}
+
+// A client that takes nothing for as long as the bounds say is let go; one that takes a little now and then is not. What
+// waited for a client that has gone is no more in the budget.
+func TestSlowReaderIsLetGo(t *testing.T) {
+	const answer = 16 << 20
+	budget := NewBudget(answer)
+	address, _, ended := answering(t, Bounds{Pending: 1 << 20, Budget: budget, SlowReaderAfter: 300 * time.Millisecond}, answer)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.Write([]byte("x"))
+	for range 10 {
+		io.CopyN(io.Discard, conn, 512<<10)
+		time.Sleep(100 * time.Millisecond)
+	}
+	select {
+	case reason := <-ended:
+		t.Fatalf("a client that reads was let go: %v", reason)
+	default:
+	}
+	select {
+	case reason := <-ended:
+		if !errors.Is(reason, ErrSlowReader) {
+			t.Errorf("it was let go for %v", reason)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("a client that takes nothing was not let go")
+	}
+	if budget.Left() != answer {
+		t.Errorf("%d bytes of the budget are left, expected all", budget.Left())
+	}
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -30,7 +31,7 @@
 // ErrClosed is the reason of a link that its own side closed.
 var ErrClosed = errors.New("closed here")
 
-// ErrSlowReader is the reason of a link whose other side left too much unread.
+// ErrSlowReader is the reason of a link whose other side has taken nothing for slowReaderAfter while something waited for it.
 var ErrSlowReader = errors.New("the other side does not read")
 
 // Handler takes a frame. The body is good only during the call. An error closes the link with it as the reason.
@@ -67,6 +68,7 @@
 	most  int
 	// the other side's address, empty where this side was dialled
 	remote string
+	peer   net.Addr
 
 	mu       sync.Mutex
 	pending  []byte
@@ -75,6 +77,9 @@
 	dead     bool
 	then     []func() // to be called once all is written
 	put      int64    // bytes so far
+	held     int64    // bytes that the owner holds for the other side and has not put yet
+	counted  int64    // bytes that the budget was told of
+	full     bool     // so much waits that nothing more is to be read
 	taken    int64    // of these, up to where the system is being given them
 	written  int64    // and up to where the system has them
 	failed   bool     // what was taken last was not written whole
@@ -88,22 +93,31 @@
 	mode     readMode // how far a detached link is read
 	watch    int32    // its number at the watcher, 0 if it has none
 
-	readMu   sync.Mutex // held over a read of the watcher
-	missing  func(part []byte) int
-	onClosed func() // called once the socket is closed, nil if nobody asks
+	readMu    sync.Mutex // held over a read of the watcher
+	missing   func(part []byte) int
+	stopped   bool // reading does not begin again; the poller's
+	server    bool // of a server: reading stops while too much waits
+	budget    *Budget
+	slowAfter time.Duration
+	onClosed  func() // called once the socket is closed, nil if nobody asks
 }
 
 // Bounds of a link, in bytes.
 type Bounds struct {
-	Frame   int // greatest message of a frame
-	Pending int // what may wait to be written
+	Frame int // greatest message of a frame
+	// What may wait to be written. A dialled link takes no more than that; a server's link takes all that is owed to its client,
+	// and reads nothing while more waits.
+	Pending int
+	Budget  *Budget // of a server's links together, nil if there is none
+	// How long the other side may take nothing while something waits for it; slowReaderAfter if 0.
+	SlowReaderAfter time.Duration
 }
 
 // DefaultBounds suit every role.
 var DefaultBounds = Bounds{Frame: MostFrame, Pending: 8 << 20}
 
 func newLink(conn netpoll.Connection, b Bounds, read Reader, ended func(*Link, error)) *Link {
-	l := &Link{conn: conn, read: read, ended: ended, most: b.Pending}
+	l := &Link{conn: conn, read: read, ended: ended, most: b.Pending, slowAfter: cmp.Or(b.SlowReaderAfter, slowReaderAfter), budget: b.Budget, peer: conn.RemoteAddr()}
 	l.flushFn = l.flush
 	l.fd = -1
 	if conn, ok := conn.(netpoll.Conn); ok {
@@ -126,7 +140,7 @@
 	}
 	l := newLink(conn, b, read, ended)
 	l.remote = address
-	if err := conn.SetOnRequest(l.arrived); err != nil {
+	if err := conn.SetOnRequest(l.arrivedOn); err != nil {
 		conn.Close()
 		return nil, err
 	}
@@ -137,8 +151,8 @@
 	return l, nil
 }
 
-// arrived gives the reader what has come. It always takes all that is there and waits for nothing.
-func (l *Link) arrived(_ context.Context, conn netpoll.Connection) error {
+// arrivedOn gives the reader what has come. It always takes all that is there and waits for nothing.
+func (l *Link) arrivedOn(_ context.Context, conn netpoll.Connection) error {
 	r := conn.Reader()
 	data, err := r.Next(r.Len())
 	if err != nil {
@@ -166,24 +180,25 @@
 	return r.Release()
 }
 
-// add has something appended to what waits to be written.
-func (l *Link) add(write func(to []byte) ([]byte, error)) bool {
+// add has something appended to what waits to be written. What is owed is taken however much waits.
+func (l *Link) add(owed bool, write func(to []byte) ([]byte, error)) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.dead || len(l.pending) > l.most {
+	if l.dead || !owed && len(l.pending) > l.most {
 		return false
 	}
 	to, err := write(l.pending)
 	if err == nil {
 		l.put += int64(len(to) - len(l.pending))
 		l.pending = to
+		l.account()
 	}
 	return err == nil
 }
 
 // frame is add for a frame of a kind.
-func (l *Link) frame(kind Kind, message func(to []byte) ([]byte, error)) bool {
-	return l.add(func(to []byte) ([]byte, error) {
+func (l *Link) frame(owed bool, kind Kind, message func(to []byte) ([]byte, error)) bool {
+	return l.add(owed, func(to []byte) ([]byte, error) {
 		to, at := begin(to, kind)
 		to, err := message(to)
 		if err == nil {
@@ -196,22 +211,32 @@
 // Put adds a frame to what waits to be written. False says that nothing of it will ever leave: the link has
 // closed or too much waits already.
 func (l *Link) Put(kind Kind, m Message) bool {
-	return l.frame(kind, func(to []byte) ([]byte, error) { return m.appendTo(to), nil })
+	return l.frame(false, kind, func(to []byte) ([]byte, error) { return m.appendTo(to), nil })
+}
+
+// PutOwed is Put for an answer: it is refused only where the link has ended.
+func (l *Link) PutOwed(kind Kind, m Message) bool {
+	return l.frame(true, kind, func(to []byte) ([]byte, error) { return m.appendTo(to), nil })
 }
 
 // PutProto is Put for generated messages.
 func (l *Link) PutProto(kind Kind, m proto.Message) bool {
-	return l.frame(kind, func(to []byte) ([]byte, error) { return proto.MarshalOptions{}.MarshalAppend(to, m) })
+	return l.frame(false, kind, func(to []byte) ([]byte, error) { return proto.MarshalOptions{}.MarshalAppend(to, m) })
 }
 
 // PutFrame is Put for a message that is encoded already.
 func (l *Link) PutFrame(kind Kind, body []byte) bool {
-	return l.frame(kind, func(to []byte) ([]byte, error) { return append(to, body...), nil })
+	return l.frame(false, kind, func(to []byte) ([]byte, error) { return append(to, body...), nil })
 }
 
 // PutRaw adds bytes that are frames already, or are meant to be none.
 func (l *Link) PutRaw(b []byte) bool {
-	return l.add(func(to []byte) ([]byte, error) { return append(to, b...), nil })
+	return l.add(false, func(to []byte) ([]byte, error) { return append(to, b...), nil })
+}
+
+// PutRawOwed is PutRaw for an answer: it is refused only where the link has ended.
+func (l *Link) PutRawOwed(b []byte) bool {
+	return l.add(true, func(to []byte) ([]byte, error) { return append(to, b...), nil })
 }
 
 // Mark is how many bytes were put so far, for MayHave.
@@ -346,6 +371,7 @@
 	l.once.Do(func() {
 		l.mu.Lock()
 		l.dead = true
+		l.account()
 		l.mu.Unlock()
 		if l.ended != nil {
 			l.ended(l, reason)
@@ -384,7 +410,7 @@
 	if l.remote != "" {
 		return l.remote
 	}
-	return l.conn.RemoteAddr().String()
+	return l.peer.String()
 }
 
 // Server takes connections.
@@ -443,6 +469,7 @@
 		netpoll.WithOnPrepare(func(conn netpoll.Connection) context.Context {
 			s.accepted.Add(1)
 			l := newLink(conn, b, nil, nil)
+			l.server = true
 			read, ended := accept(l)
 			l.read = read
 			l.ended = func(l *Link, reason error) {
@@ -466,7 +493,7 @@
 			if refusing {
 				l.Close(ErrClosed)
 			}
-			return context.WithValue(context.Background(), linkKey{}, netpoll.OnRequest(l.arrived))
+			return context.WithValue(context.Background(), linkKey{}, netpoll.OnRequest(l.arrivedOn))
 		}))
 	if err != nil {
 		return nil, err
--- a/internal/wire/send.go
+++ b/internal/wire/send.go
@@ -36,12 +36,14 @@
 // sendAll writes what a link has put, however the system takes it, and ends with an error once the connection has.
 func (l *Link) sendAll(out []byte) error {
 	wait, interrupts := firstSendWait, 0
+	var progress Progress
 	for len(out) > 0 {
 		n, err := l.sendSome(out)
 		if n > 0 {
 			out = out[n:]
 			l.mu.Lock()
 			l.written += int64(n)
+			l.account()
 			l.mu.Unlock()
 			wait, interrupts = firstSendWait, 0
 		}
@@ -55,6 +57,8 @@
 			return err
 		case l.Dead():
 			return net.ErrClosed
+		case l.Stalled(&progress, time.Now()):
+			return ErrSlowReader
 		}
 		time.Sleep(wait)
 		wait = min(2*wait, longestSendWait)
