A command beyond 64 open ones on a connection is refused, and what came behind it is answered

Callers saw: of 300 commands written at once the 65th got an error, and the 235 behind it, which had been read, only a close. Cause: caller.read set the connection to close for the error and dropped what had come behind it.

--- a/internal/platform/door.go
+++ b/internal/platform/door.go
@@ -229,9 +229,10 @@
 		c.used, c.begun, c.spoken = now, time.Time{}, true
 		behind := len(c.queue)
 		c.mu.Unlock()
-		if behind >= mostBehind {
-			c.refuse("-ERR found "+strconv.Itoa(behind+1)+" open commands on a connection, expected at most "+strconv.Itoa(mostBehind), true)
-			return nil, nil
+		if behind >= mostBehind { // read, so it is owed an answer; a close would lose those behind it too
+			c.refuse("-BUSY", false)
+			data = rest
+			continue
 		}
 		c.command(m)
 		data = rest
