Soak: the process breaks a promise on purpose, and the auditor names which

Cause: an auditor that finds nothing shows little until it has been seen to find each breach. The auditor tells a skipped answer from a swapped one by whether the request's own answer came in another place.

--- a/cmd/scalechute/main.go
+++ b/cmd/scalechute/main.go
@@ -47,7 +47,7 @@
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if platformed {
-				return servePlatform(level)
+				return servePlatform(level, breach)
 			}
 			if config == "" {
 				return errors.New("found neither --config nor --platform, expected one")
@@ -111,7 +111,7 @@
 	}
 	c.Flags().StringVar(&config, "config", "", "the sentry's orders (HCL)")
 	c.Flags().StringVar(&level, "level", "info", "least level of what is logged")
-	c.Flags().StringVar(&breach, "break", "", "break a rule on purpose: answer, effect, drain, cold or exposure")
+	c.Flags().StringVar(&breach, "break", "", "break a rule on purpose: answer, effect, drain, cold or exposure; with --platform close, skip or swap")
 	c.Flags().StringVar(&profile, "profile", "", "write a processor profile to this file until the end")
 	c.Flags().DurationVar(&every, "watch", time.Second, "how often the file is looked at for new orders; 0: at SIGHUP only")
 	c.Flags().BoolVar(&platformed, "platform", false, "serve on the operators' platform, as its environment says")
--- a/cmd/scalechute/platform.go
+++ b/cmd/scalechute/platform.go
@@ -18,7 +18,7 @@
 
 // servePlatform runs one sentry as the platform's environment says, until SIGTERM and what is owed then. Metrics, the file
 // of the last list and watched files are off: the platform has no room for them.
-func servePlatform(level string) error {
+func servePlatform(level, breach string) error {
 	// Before all else: one that comes while the sentry starts is taken once it stands.
 	signals, hangups := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -39,10 +39,18 @@
 	debug.SetMemoryLimit(post.MemoryMB << 20 * 6 / 10)
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
 	log := zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sentry", post.Name).Logger()
+	broken, err := platform.ParseBreach(breach)
+	if err != nil {
+		return err
+	}
 	ends, err := platform.New(post, log)
 	if err != nil {
 		return err
 	}
+	ends.Break(broken)
+	if broken != platform.NoBreach {
+		log.Warn().Str("promise", breach).Msg("this sentry breaks a promise on purpose")
+	}
 	s, err := sentry.Start(post.Sheet, sentry.Options{Log: log, Ends: ends, Known: post.Known})
 	if err != nil {
 		return err
--- a/cmd/scalechute/soak.go
+++ b/cmd/scalechute/soak.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"scalechute/internal/platform"
 	"scalechute/internal/soak"
 )
 
@@ -23,6 +24,9 @@
 		Short: "Play the real process under SIGHUP, SIGTERM and SIGKILL, a line a run; exit 0 only if no request is lost",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if _, err := platform.ParseBreach(breach); err != nil {
+				return err
+			}
 			self, err := os.Executable()
 			if err != nil {
 				return err
@@ -37,7 +41,9 @@
 				if open > 0 {
 					plan = soak.Pipelines(seed+n, clients, open, pause)
 				}
-				plan.Break = breach
+				if breach != "" {
+					plan = soak.Breaking(seed+n, breach)
+				}
 				result, err := soak.Play(plan, options)
 				if err != nil {
 					return err
--- a/cmd/scalechute/soak_test.go
+++ b/cmd/scalechute/soak_test.go
@@ -45,3 +45,17 @@
 		soaked(t, soak.Draw(seed))
 	}
 }
+
+// Each promise that the process is made to break is named by the auditor as what it is.
+func TestSoakNamesEachBreak(t *testing.T) {
+	for breach, want := range map[string]soak.Fate{"close": soak.Dropped, "skip": soak.Skipped, "swap": soak.Swapped} {
+		result, err := soak.Play(soak.Breaking(1, breach), soak.Options{Program: []string{os.Args[0]}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(result)
+		if result.Good() || result.Requests[want] == 0 {
+			t.Errorf("break %s: %v, expected %v", breach, result, want)
+		}
+	}
+}
--- a/internal/platform/door.go
+++ b/internal/platform/door.go
@@ -58,6 +58,8 @@
 	text []byte
 	done bool
 	held bool // its link was told of it
+
+	skipped bool // it is not to be written: a breach on purpose
 }
 
 func (r *reply) size() int { return replyOverhead + len(r.text) }
@@ -369,11 +371,14 @@
 	n := 0
 	good = true
 	for n < len(c.queue) && c.queue[n].done {
+		c.breachBefore(c.queue[n:])
 		r := &c.queue[n]
-		good = c.PutRawOwed(r.text) && good
 		if r.held {
 			c.Hold(-r.size())
 		}
+		if !r.skipped {
+			good = c.PutRawOwed(r.text) && good
+		}
 		n++
 	}
 	c.first += uint64(n)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -32,6 +32,7 @@
 	wall         *clock.Wall
 
 	mu         sync.Mutex
+	breaker    breaker
 	budget     *wire.Budget // of what waits for clients
 	callers    map[*caller]struct{}
 	ids        map[string]struct{} // of open transactions
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -10,21 +10,22 @@
 
 // The fates of a request. Those from late on break a promise.
 const (
-	unanswered  Fate = iota // to be told by how its connection ended
-	unsent                  // not written whole
-	served                  // by its own answer
-	refused                 // a later try is harmless
-	failed                  // answered, not served
-	unread                  // the process did not read it, and its client sees that
-	cut                     // found by the kill, and so old that the protocol allows it
-	late                    // answered after its deadline and the half second
-	wrongAnswer             // got another request's answer
-	dropped                 // read, or come, and its connection ended by the process with no answer
-	killed                  // found unanswered by the kill
+	Unanswered Fate = iota // to be told by how its connection ended
+	Unsent                 // not written whole
+	Served                 // by its own answer
+	Refused                // a later try is harmless
+	Failed                 // answered, not served
+	Unread                 // the process did not read it, and its client sees that
+	Cut                    // found by the kill, and so old that the protocol allows it
+	Late                   // answered after its deadline and the half second
+	Skipped                // got another request's answer, and its own came nowhere
+	Swapped                // got another request's answer, and its own came in another place
+	Dropped                // read, or come, and its connection ended by the process with no answer
+	Killed                 // found unanswered by the kill
 	fates
 )
 
-var fateNames = [fates]string{"unanswered", "unsent", "served", "refused", "failed", "unread", "cut", "late", "wrong answer", "dropped", "killed"}
+var fateNames = [fates]string{"unanswered", "unsent", "served", "refused", "failed", "unread", "cut", "late", "skipped", "swapped", "dropped", "killed"}
 
 func (f Fate) String() string { return fateNames[f] }
 
@@ -52,7 +53,7 @@
 
 // Good says that no promise was broken.
 func (r *Result) Good() bool {
-	for f := late; f < fates; f++ {
+	for f := Late; f < fates; f++ {
 		if r.Requests[f] > 0 {
 			return false
 		}
@@ -62,7 +63,7 @@
 
 func (r *Result) String() string {
 	text := r.Plan.String() + ";"
-	for f := unsent + 1; f < fates; f++ {
+	for f := Unsent + 1; f < fates; f++ {
 		text += fmt.Sprintf(" %v %d,", f, r.Requests[f])
 	}
 	text += fmt.Sprintf(" connections %d, with a loss %d; ended", r.Connections, r.Lost)
@@ -85,12 +86,15 @@
 	defer x.mu.Unlock()
 	lost := false
 	for _, r := range c.all {
-		if r.fate == unanswered {
+		switch {
+		case r.fate == Unanswered:
 			r.fate = x.fate(r, e)
+		case r.fate == Skipped && c.values[r.id]:
+			r.fate = Swapped
 		}
 		x.result.Requests[r.fate]++
-		lost = lost || r.fate == dropped || r.fate == killed
-		if r.fate >= late && len(x.result.Examples) < mostExamples {
+		lost = lost || r.fate == Dropped || r.fate == Killed
+		if r.fate >= Late && len(x.result.Examples) < mostExamples {
 			x.result.Examples = append(x.result.Examples, fmt.Sprintf("%s (open %d): %v; sent %.3f s, connection ended %.3f s, after SIGTERM; reset %v, %d attempts",
 				r.id, c.plan.Open, r.fate, r.sent.Sub(x.terminated).Seconds(), e.at.Sub(x.terminated).Seconds(), e.reset, x.seen.of(r.id)))
 		}
@@ -107,15 +111,15 @@
 	switch {
 	case x.killedAt != (time.Time{}) && !e.at.Before(x.killedAt):
 		if r.sent.Sub(x.terminated) > lostFrom {
-			return killed
+			return Killed
 		}
-		return cut
+		return Cut
 	case x.seen.of(r.id) > 0:
-		return dropped
+		return Dropped
 	case e.acked >= r.end && !e.reset:
-		return dropped
+		return Dropped
 	}
-	return unread
+	return Unread
 }
 
 // note counts a breach.
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -45,6 +45,7 @@
 	free     *sync.Cond
 	open     []*request // not answered, in order
 	all      []*request
+	values   map[string]bool // ids whose answers came, in whatever place
 	ended    bool
 	written  uint64
 	previous time.Time // of the last answer
@@ -58,7 +59,7 @@
 			time.Sleep(reconnectPause)
 			continue
 		}
-		x := &connection{client: c, conn: conn.(*net.TCPConn), previous: time.Now()}
+		x := &connection{client: c, conn: conn.(*net.TCPConn), values: map[string]bool{}, previous: time.Now()}
 		x.free = sync.NewCond(&x.mu)
 		x.acked = x.info().Bytes_acked
 		x.use()
@@ -125,7 +126,7 @@
 	x.mu.Unlock()
 	if !x.put(text) {
 		x.mu.Lock()
-		r.fate = unsent
+		r.fate = Unsent
 		x.mu.Unlock()
 		return false
 	}
@@ -186,17 +187,20 @@
 	}
 	x.previous = r.answered
 	id, _, _ := strings.Cut(string(v.Text), ":")
+	if v.Kind == resp.Bulk {
+		x.values[id] = true
+	}
 	switch {
 	case v.Kind == resp.Bulk && id != r.id:
-		r.fate = wrongAnswer
+		r.fate = Skipped
 	case r.answered.Sub(due) > x.run.plan.Deadline+lateBy && x.plan.ReadDelay == 0:
-		r.fate = late
+		r.fate = Late
 	case v.Kind == resp.Bulk:
-		r.fate = served
+		r.fate = Served
 	case v.Kind == resp.Fault && strings.HasPrefix(string(v.Text), "BUSY"):
-		r.fate = refused
+		r.fate = Refused
 	default:
-		r.fate = failed
+		r.fate = Failed
 	}
 	x.free.Signal()
 	return true
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -158,3 +158,14 @@
 	}
 	return p
 }
+
+// Breaking is a plan on which the process has every occasion to break a promise: full pipelines, and servers that answer out
+// of turn now and then.
+func Breaking(seed uint64, breach string) *Plan {
+	p := Pipelines(seed, 8, 8, 0)
+	for i := range p.Servers {
+		p.Servers[i].SlowPerMille = 50
+	}
+	p.Break = breach
+	return p
+}
