A request that is read as the loop ends is refused, and its answer arrives before the close

Callers saw: on the frame layer, at a stop, a request read while the loop took its last step got only the close. Cause: inbox.close threw away what had come since the loop last took from it, and inbox.put dropped what came after, while connections were read until the last answers were written. Change: what is left is refused, then reading stops on all links in one turn of the poller, and they end with their stream first. Why it holds: after that turn nothing more is read, and all that was read has been answered by the loop or by its reader.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -122,6 +122,7 @@
 }
 
 func (p *Platform) StopListening() { p.server.StopListening() }
+func (p *Platform) StopReading()   { p.server.StopReading() }
 func (p *Platform) Waiting() int   { return p.server.Waiting() }
 
 func (p *Platform) Ask(follow bool, since uint64) { p.discovery.ask(follow, since) }
--- a/internal/sentry/ends.go
+++ b/internal/sentry/ends.go
@@ -28,6 +28,7 @@
 type Clients interface {
 	Open(s *Sentry) (address string, err error) // before the loop begins
 	StopListening()                             // from any goroutine
+	StopReading()                               // no more of any connection, from when it returns
 	Waiting() int                               // connections on which something waits to be written
 }
 
@@ -106,7 +107,17 @@
 		*ev.buffer = both
 		ev.mark, ev.payload = both[:len(m.Mark):len(m.Mark)], both[len(m.Mark):]
 	}
-	e.s.inbox.put(ev, true)
+	if !e.s.inbox.put(ev, true) {
+		e.refuse(ev)
+	}
+}
+
+// refuse answers a request that the loop did not take and will not: it has ended.
+func (e ClientEar) refuse(ev *event) {
+	giveBack(ev.buffer)
+	if !e.s.killed.Load() && e.c.link.Answer(&wire.Answer{ID: ev.id, Outcome: uint32(pb.Outcome_NOT_TAKEN)}) {
+		e.c.link.Flush()
+	}
 }
 
 // Gone hears that the connection has ended.
@@ -217,6 +228,7 @@
 }
 
 func (f *frames) StopListening() { f.server.StopListening() }
+func (f *frames) StopReading()   { f.server.StopReading() }
 func (f *frames) Waiting() int   { return f.server.Waiting() }
 
 func (f *frames) Begin() {
@@ -232,9 +244,17 @@
 			u.link.Close(wire.ErrClosed)
 		}
 	}
+	f.server.Finish(linger, lingerMost)
 	f.server.Close()
 }
 
+const (
+	// A client that has acknowledged all and does not close at the end of the stream is closed after this.
+	linger = 20 * time.Millisecond
+	// One that has sent what was not read may have yet to come to its answers, and has longer.
+	lingerMost = 250 * time.Millisecond
+)
+
 func (f *frames) Ask(follow bool, _ uint64) { f.askList(follow) }
 
 func (f *frames) Vote(m *pb.Vote) bool {
--- a/internal/sentry/inbox.go
+++ b/internal/sentry/inbox.go
@@ -116,7 +116,8 @@
 	return q
 }
 
-func (q *inbox) put(e *event, wait bool) {
+// put takes an event, and says whether it did: not once the inbox is closed.
+func (q *inbox) put(e *event, wait bool) bool {
 	q.mu.Lock()
 	if wait && len(q.items) >= q.most && !q.closed {
 		q.waits++
@@ -126,7 +127,7 @@
 	}
 	if q.closed {
 		q.mu.Unlock()
-		return
+		return false
 	}
 	e.at = q.clock.now()
 	q.items = append(q.items, *e)
@@ -138,6 +139,7 @@
 		default:
 		}
 	}
+	return true
 }
 
 // take swaps what waits for an empty slice.
@@ -152,16 +154,18 @@
 	return items
 }
 
-func (q *inbox) close() {
+// close takes nothing more, and gives what was not taken from it.
+func (q *inbox) close() []event {
 	q.mu.Lock()
-	q.closed = true
-	q.items = nil
+	left := q.items
+	q.closed, q.items = true, nil
 	q.mu.Unlock()
 	q.room.Broadcast()
 	select {
 	case q.wake <- struct{}{}:
 	default:
 	}
+	return left
 }
 
 func (q *inbox) load() (waiting, waits int) {
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -760,7 +760,13 @@
 func (s *Sentry) end() {
 	if !s.killed.Load() {
 		s.flush()
-		s.inbox.close() // first: a poller that waited for room could not see to the writing
+		// What has been read by now or is until reading stops gets its answer: it came too late to be taken.
+		for _, e := range s.inbox.close() {
+			if e.kind == evAsk {
+				ClientEar{s, e.client}.refuse(&e)
+			}
+		}
+		s.ends.StopReading()
 		for i := 0; i < 500 && s.ends.Waiting() > 0; i++ {
 			time.Sleep(2 * time.Millisecond)
 		}
--- a/internal/sentry/sentry_test.go
+++ b/internal/sentry/sentry_test.go
@@ -837,3 +837,57 @@
 		t.Errorf("%g were counted as overdue", n)
 	}
 }
+
+// Requests that are read while the loop takes its last step have their answer before their connection closes: they came too
+// late to be taken, and are refused.
+//
+// What happened: they got nothing but the close. Why: the loop ends once nothing is open, and what had come into the inbox
+// since it last took from there was thrown away with it; what was read after that never came into it. The evidence: three
+// requests that stand in the inbox as the last answer is given got none.
+func TestAskedAtTheEnd(t *testing.T) {
+	var c *caller
+	var r *rig
+	more, stop := make(chan struct{}), make(chan struct{})
+	last := uint64(1)
+	r = newRig(t, rigPlan{decide: func(in *input.Input) (out logic.Result) {
+		switch {
+		case in.Kind == input.TransactionCame:
+			out.Rulings = []logic.Ruling{{Kind: logic.HandOff, Transaction: in.Transaction.ID, Worker: "w"}}
+		case in.Kind == input.ListCame:
+			out.Follow = in.ListKind == logic.ListRemembered
+		case in.Kind == input.HandOffEnded:
+			close(more)
+			<-stop
+		}
+		return out
+	}})
+	r.worker("w", func(l *wire.Link, m *wire.Work) {
+		go func() {
+			r.s.Stop()
+			reply(l, m, pb.Ended_ANSWERED)
+		}()
+	})
+	c = r.caller()
+	c.ask(last, 0)
+	<-more // the loop is in its last step
+	for range 3 {
+		last++
+		c.ask(last, 0)
+	}
+	r.wait("requests in the inbox", func() bool { waiting, _ := r.s.inbox.load(); return waiting >= 3 })
+	close(stop)
+	answers := map[uint64]uint32{}
+	for len(answers) < int(last) {
+		select {
+		case a := <-c.answers:
+			answers[a.ID] = a.Outcome
+		case <-time.After(3 * time.Second):
+			t.Fatalf("answers %v to %d requests that were read", answers, last)
+		}
+	}
+	for id := uint64(2); id <= last; id++ {
+		if answers[id] != uint32(pb.Outcome_NOT_TAKEN) {
+			t.Errorf("request %d: %v, expected a refusal", id, pb.Outcome(answers[id]))
+		}
+	}
+}
--- a/internal/wire/detach.go
+++ b/internal/wire/detach.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -147,8 +148,8 @@
 	return true
 }
 
-// StopReading has nothing more read than the rest of the message that has come in part. It is called on the poller. missing
-// gives the bytes that a part lacks at the least. False says that the system can't do it now.
+// StopReading has nothing more read than the rest of the message that has come in part. It is called on the poller, once.
+// missing gives the bytes that a part lacks at the least. False says that the system can't do it now.
 func (l *Link) StopReading(missing func(part []byte) int) bool {
 	l.missing, l.stopped = missing, true
 	mode := readNone
@@ -158,6 +159,15 @@
 	return l.detach(mode)
 }
 
+// stopReadingNow has nothing more read at all, on the poller. It waits for a read in hand.
+func (l *Link) stopReadingNow() {
+	if !l.stopped {
+		l.stopped = true
+		l.detach(readNone)
+	}
+	l.EndReading()
+}
+
 // attach gives a detached link back to the dependency, on the poller.
 func (l *Link) attach() {
 	l.fdMu.Lock()
@@ -212,20 +222,12 @@
 func (l *Link) readRest() (goesOn bool) {
 	l.readMu.Lock()
 	defer l.readMu.Unlock()
-	n, mode, err := 0, readNone, error(nil)
-	part := make([]byte, min(mostReadAtOnce, max(1, l.missing(l.carry))))
-	l.fdMu.Lock()
-	if l.gone || !l.detached {
-		l.fdMu.Unlock()
+	if !l.readsRest() {
 		return true
 	}
-	if mode = l.mode; mode == readRest {
-		n, _, err = syscall.Recvfrom(l.fd, part, syscall.MSG_DONTWAIT)
-	}
-	l.fdMu.Unlock()
+	part := make([]byte, min(mostReadAtOnce, max(1, l.missing(l.carry))))
+	n, err := l.receive(part)
 	switch {
-	case mode != readRest:
-		return true
 	case err != nil:
 		return passes(err)
 	case n <= 0:
@@ -242,6 +244,23 @@
 	return true
 }
 
+func (l *Link) readsRest() bool {
+	l.fdMu.Lock()
+	defer l.fdMu.Unlock()
+	return l.detached && !l.gone && l.mode == readRest
+}
+
+// receive reads what there is, without waiting.
+func (l *Link) receive(into []byte) (int, error) {
+	l.fdMu.Lock()
+	defer l.fdMu.Unlock()
+	if l.gone {
+		return 0, net.ErrClosed
+	}
+	n, _, err := syscall.Recvfrom(l.fd, into, syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 // Finish ends this side's stream once all is written, so that the other side sees that no more comes, and closes once the
 // other side has ended its own. It is called after StopReading. A close over what stands unread resets the connection, and
 // would take answers with it that have not arrived: where the other side goes on, the close waits until it has acknowledged
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -561,27 +563,59 @@
 	return n
 }
 
-// Close ends the server with all its links.
-func (s *Server) Close() {
-	s.StopListening()
+// stopWithin is how long a step of a server's end may take.
+const stopWithin = time.Second
+
+// all lists the links.
+func (s *Server) all() []*Link {
 	s.mu.Lock()
-	links := make([]*Link, 0, len(s.links))
-	for l := range s.links {
-		links = append(links, l)
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.links))
+}
+
+// StopReading has nothing more read on any link. What was read has gone through the readers when it returns.
+func (s *Server) StopReading() {
+	stopped := make(chan struct{})
+	OnPoller(func() {
+		defer close(stopped)
+		for _, l := range s.all() {
+			l.stopReadingNow()
+		}
+	})
+	select {
+	case <-stopped:
+	case <-time.After(stopWithin):
 	}
-	s.mu.Unlock()
-	for _, l := range links {
-		l.Close(ErrClosed)
+}
+
+// Finish ends all links as Link.Finish does, and waits for them.
+func (s *Server) Finish(linger, most time.Duration) {
+	for _, l := range s.all() {
+		l.Finish(ErrClosed, linger, most)
 	}
-	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	s.waitClosed()
+}
+
+// waitClosed waits until no socket is open.
+func (s *Server) waitClosed() {
+	for end := time.Now().Add(stopWithin); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		s.mu.Lock()
 		open := s.open
 		s.mu.Unlock()
 		if open == 0 {
-			break
+			return
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+}
+
+// Close ends the server with all its links.
+func (s *Server) Close() {
+	s.StopListening()
+	for _, l := range s.all() {
+		l.Close(ErrClosed)
+	}
+	s.waitClosed()
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
 	defer cancel()
 	_ = s.loop.Shutdown(ctx)
 }
