--- a/internal/platform/breach.go
+++ b/internal/platform/breach.go
@@ -51,7 +51,7 @@
 func (p *Platform) Break(b Breach) { p.breaker.breach = b }
 
 // breachBefore breaks a promise as the first of a client's replies is to be written. The lock is held.
-func (c *caller) breachBefore(queue []reply) {
+func (c *clientConn) breachBefore(queue []reply) {
 	first := &queue[0]
 	switch b := &c.p.breaker; {
 	case b.breach == NoBreach || first.id == "":
--- a/internal/platform/door.go
+++ b/internal/platform/clients.go
@@ -15,40 +15,40 @@
 
 const (
 	// A client that has sent no whole command so long after connecting, or after beginning one, gets a close.
-	silentMost = 2700 * time.Millisecond
+	firstCommandTimeout = 2700 * time.Millisecond
 	// One that has sent commands may take so long over another.
-	slowMost = 6 * time.Second
+	commandTimeout = 6 * time.Second
 	// A connection with nothing open may be closed after this.
-	idleMost = 10 * time.Second
+	idleTimeout = 10 * time.Second
 	// Commands of one connection that wait for their answers at the most.
-	mostBehind = 64
-	lookEvery  = 100 * time.Millisecond
+	maxOpenCommands = 64
+	sweepEvery      = 100 * time.Millisecond
 	// A client for which more waits is read no further until half of it has gone, in bytes.
-	mostWaiting = 1 << 20
+	maxUnwritten = 1 << 20
 	// Over how many answers the mean of their bytes is taken.
 	meanAnswerOver = 16
 	// What an entry of a client's queue takes beside its text, in bytes.
 	replyOverhead = 64
 )
 
-// caller is one client's connection. Its commands are answered in their order.
-type caller struct {
+// clientConn is one client's connection. Its commands are answered in their order.
+type clientConn struct {
 	*wire.Link
 	p      *Platform
 	ear    sentry.ClientEar
 	reader resp.Reader
 
-	mu      sync.Mutex
-	queue   []reply // the first unanswered one first
-	first   uint64  // number of that one
-	used    time.Time
-	begun   time.Time // the command in hand, or the connection where none has come whole
-	spoken  bool      // a whole command has come
-	closing bool      // what comes is not taken any more
-	beyond  bool      // it came beyond the bound: it closes once nothing is owed on it
-	stopped bool      // nothing is read beyond the command in part
-	ending  bool      // nothing is owed on it, and its end has begun
-	scratch []byte
+	mu           sync.Mutex
+	queue        []reply // the first unanswered one first
+	first        uint64  // number of that one
+	used         time.Time
+	partialSince time.Time // the command in hand, or the connection where none has come whole
+	hasSent      bool      // a whole command has come
+	closing      bool      // what comes is not taken any more
+	overLimit    bool      // it came beyond the bound: it closes once nothing is owed on it
+	stopped      bool      // nothing is read beyond the command in part
+	ending       bool      // nothing is owed on it, and its end has begun
+	scratch      []byte
 	// of a client that is idle and has yet to take an answer; the poller's
 	progress wire.Progress
 }
@@ -67,14 +67,14 @@
 // Open listens for clients.
 func (p *Platform) Open(s *sentry.Sentry) (string, error) {
 	p.sentry = s
-	server, err := wire.ServeRaw(p.post.Load().Sheet.Post.Listen, wire.Bounds{Frame: mostValue, Pending: mostWaiting, Budget: p.budget},
+	server, err := wire.ServeRaw(p.post.Load().Sheet.Post.Listen, wire.Bounds{Frame: mostValue, Pending: maxUnwritten, Budget: p.budget},
 		func(l *wire.Link) (wire.Reader, func(*wire.Link, error)) {
 			now := time.Now()
-			c := &caller{Link: l, p: p, used: now, begun: now, reader: resp.Reader{Bounds: commandBounds, Commands: true}}
+			c := &clientConn{Link: l, p: p, used: now, partialSince: now, reader: resp.Reader{Bounds: commandBounds, Commands: true}}
 			c.ear = s.Joined(c)
-			p.enter(c)
+			p.admit(c)
 			return c.read, func(*wire.Link, error) {
-				p.leave(c)
+				p.forget(c)
 				c.ear.Gone(nil)
 			}
 		})
@@ -82,64 +82,63 @@
 		return "", err
 	}
 	p.server = server
-	go p.look()
+	go p.watchClients()
 	return server.Address, nil
 }
 
-// enter books a client, and closes one where there are too many: one that has said nothing, else the longest idle; never one
+// admit books a client, and closes one where there are too many: one that has said nothing, else the longest idle; never one
 // that has sent something which is not answered, nor one whose answer waits. If there is none, the new one is let go as soon as
 // nothing is owed on it. It runs on the poller.
-func (p *Platform) enter(c *caller) {
+func (p *Platform) admit(c *clientConn) {
 	p.mu.Lock()
-	p.callers[c] = struct{}{}
-	over := len(p.callers) > p.post.Load().callers()
+	p.clients[c] = struct{}{}
+	over := len(p.clients) > p.post.Load().clientLimit()
 	p.mu.Unlock()
 	if !over {
 		return
 	}
 	type candidate struct {
-		*caller
-		spoken bool
-		used   time.Time
+		*clientConn
+		hasSent bool
+		used    time.Time
 	}
 	var out []candidate
-	for _, x := range p.booked() {
+	for _, x := range p.clientList() {
 		x.mu.Lock()
-		if x != c && !x.closing && len(x.queue) == 0 && (x.begun.IsZero() || !x.spoken) {
-			out = append(out, candidate{x, x.spoken, x.used})
+		if x != c && !x.closing && len(x.queue) == 0 && (x.partialSince.IsZero() || !x.hasSent) {
+			out = append(out, candidate{x, x.hasSent, x.used})
 		}
 		x.mu.Unlock()
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
-		if a.spoken != b.spoken {
-			return map[bool]int{false: -1, true: 1}[a.spoken]
+		if a.hasSent != b.hasSent {
+			return map[bool]int{false: -1, true: 1}[a.hasSent]
 		}
 		return a.used.Compare(b.used)
 	})
 	for _, x := range out {
-		if x.CloseUnread(wire.ErrClosed, !x.spoken) {
+		if x.CloseUnread(wire.ErrClosed, !x.hasSent) {
 			return
 		}
 	}
-	// All have something open. What this one may have sent is owed an answer: it closes in a turn in which nothing of it is
-	// read or stands unread.
+	// All have something open. What this one may have sent is owed an answer: it closes once that is given.
 	c.mu.Lock()
-	c.beyond = true
+	c.overLimit = true
 	c.mu.Unlock()
-	wire.OnPoller(c.part)
+	wire.OnPoller(c.closeIfDue)
 }
 
-// leaves says whether a client is to close as soon as nothing is owed to it. The lock is held.
-func (c *caller) leaves() bool { return c.closing || c.beyond || c.p.drained() }
+// shouldClose says whether a client is to close as soon as nothing is owed to it. The lock is held.
+func (c *clientConn) shouldClose() bool { return c.closing || c.overLimit || c.p.drained() }
 
-// booked lists the clients.
-func (p *Platform) booked() []*caller {
+// clientList lists the clients.
+func (p *Platform) clientList() []*clientConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Collect(maps.Keys(p.callers))
+	return slices.Collect(maps.Keys(p.clients))
 }
 
-func (p *Platform) leave(c *caller) {
+func (p *Platform) forget(c *clientConn) {
 	c.mu.Lock()
 	ids := make([]string, 0, len(c.queue))
 	for _, r := range c.queue {
@@ -151,44 +150,44 @@
 	c.mu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.callers, c)
+	delete(p.clients, c)
 	for _, id := range ids {
 		delete(p.ids, id)
 	}
 }
 
-// look has those clients closed that say nothing and, once the sentry is to stop, all of them.
-func (p *Platform) look() {
-	for range p.ticks(lookEvery) {
+// watchClients has those clients closed that say nothing and, once the sentry is to stop, all of them.
+func (p *Platform) watchClients() {
+	for range p.ticks(sweepEvery) {
 		if step := p.wall.Step(); step != 0 {
 			p.log.Warn().Dur("by_ms", step).Int("steps", p.wall.Steps()).Msg("the wall clock was stepped")
 		}
-		p.lookAtClients()
+		p.sweepClients()
 	}
 }
 
 // idle says whether a client may be closed if nothing has come of it by then.
-func (c *caller) idle(now time.Time) bool {
+func (c *clientConn) idle(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.closing || len(c.queue) > 0:
 		return false
-	case c.begun.IsZero():
-		return now.Sub(c.used) > idleMost
-	case !c.spoken:
-		return now.Sub(c.begun) > silentMost
+	case c.partialSince.IsZero():
+		return now.Sub(c.used) > idleTimeout
+	case !c.hasSent:
+		return now.Sub(c.partialSince) > firstCommandTimeout
 	}
-	return now.Sub(c.begun) > slowMost
+	return now.Sub(c.partialSince) > commandTimeout
 }
 
-// part closes a client that is idle or is to leave, on the poller: there a command that was read is in the queue, and one that
+// closeIfDue closes a client that is idle or is to leave, on the poller: there a command that was read is in the queue, and one that
 // comes later is not read, so that the client sends it again. One in part, or unread, is given its time.
-func (c *caller) part() {
+func (c *clientConn) closeIfDue() {
 	c.mu.Lock()
-	leaves := c.leaves()
+	closes := c.shouldClose()
 	c.mu.Unlock()
-	if leaves {
+	if closes {
 		c.stopReading()
 		return
 	}
@@ -197,7 +196,7 @@
 		return
 	}
 	c.mu.Lock()
-	late := !c.begun.IsZero() && now.Sub(c.begun) > silentMost
+	late := !c.partialSince.IsZero() && now.Sub(c.partialSince) > firstCommandTimeout
 	c.mu.Unlock()
 	if !c.CloseUnread(wire.ErrClosed, late) && c.Stalled(&c.progress, now) {
 		c.Close(wire.ErrSlowReader)
@@ -205,7 +204,7 @@
 }
 
 // read takes the commands that have come. A client that is to leave is read no further than that.
-func (c *caller) read(_ *wire.Link, data []byte) ([]byte, error) {
+func (c *clientConn) read(_ *wire.Link, data []byte) ([]byte, error) {
 	defer c.hasRead()
 	for len(data) > 0 {
 		c.mu.Lock()
@@ -222,16 +221,16 @@
 		c.mu.Lock()
 		now := time.Now()
 		if !ok {
-			if c.begun.IsZero() {
-				c.begun = now
+			if c.partialSince.IsZero() {
+				c.partialSince = now
 			}
 			c.mu.Unlock()
 			return data, nil
 		}
-		c.used, c.begun, c.spoken = now, time.Time{}, true
+		c.used, c.partialSince, c.hasSent = now, time.Time{}, true
 		behind := len(c.queue)
 		c.mu.Unlock()
-		if behind >= mostBehind { // read, so it is owed an answer; a close would lose those behind it too
+		if behind >= maxOpenCommands { // read, so it is owed an answer; a close would lose those behind it too
 			c.refuse("-BUSY", false)
 			data = rest
 			continue
@@ -243,7 +242,7 @@
 }
 
 // refuse answers with a line, in its turn, and may close then.
-func (c *caller) refuse(line string, end bool) {
+func (c *clientConn) refuse(line string, end bool) {
 	c.mu.Lock()
 	c.queue = append(c.queue, reply{text: resp.AppendLine(nil, resp.Kind(line[0]), line[1:]), done: true})
 	c.hold(&c.queue[len(c.queue)-1])
@@ -255,7 +254,7 @@
 	c.Flush()
 }
 
-func (c *caller) command(m []resp.Value) {
+func (c *clientConn) command(m []resp.Value) {
 	switch string(m[1].Text) {
 	case "Q.ASK", "Q.DO":
 	case "PING":
@@ -320,7 +319,7 @@
 }
 
 // Answer answers a transaction; what was asked before it goes first.
-func (c *caller) Answer(a *wire.Answer) bool {
+func (c *clientConn) Answer(a *wire.Answer) bool {
 	c.mu.Lock()
 	at := a.ID - c.first
 	if at >= uint64(len(c.queue)) || c.queue[at].done || c.Dead() {
@@ -348,18 +347,18 @@
 	size := len(r.text)
 	c.used = time.Now()
 	good := c.write()
-	idle := len(c.queue) == 0 && !c.stopped && c.leaves()
+	idle := len(c.queue) == 0 && !c.stopped && c.shouldClose()
 	c.mu.Unlock()
 	c.p.answered(id, size)
 	if idle {
-		c.WhenWritten(func() { wire.OnPoller(c.part) })
+		c.WhenWritten(func() { wire.OnPoller(c.closeIfDue) })
 	}
 	c.endIfSettled()
 	return good
 }
 
 // hold tells the link of an answer that has to wait for those before it. The lock is held.
-func (c *caller) hold(r *reply) {
+func (c *clientConn) hold(r *reply) {
 	if r != &c.queue[0] {
 		r.held = true
 		c.Hold(r.size())
@@ -367,7 +366,7 @@
 }
 
 // write gives the link the answers whose turn it is. The lock is held.
-func (c *caller) write() (good bool) {
+func (c *clientConn) write() (good bool) {
 	n := 0
 	good = true
 	for n < len(c.queue) && c.queue[n].done {
--- a/internal/platform/door_test.go
+++ b/internal/platform/clients_test.go
@@ -22,12 +22,12 @@
 
 // drainedAt has a sentry asked to stop so long ago that clients with nothing open are to go.
 func (r *rig) drainedAt() {
-	asked := time.Now().Add(-stopAfter)
+	asked := time.Now().Add(-stopReadingAfter)
 	r.p.drainAt.Store(&asked)
 }
 
-func (r *rig) onlyCaller() *caller {
-	all := r.p.booked()
+func (r *rig) onlyClient() *clientConn {
+	all := r.p.clientList()
 	if len(all) != 1 {
 		r.t.Fatalf("%d clients, expected 1", len(all))
 	}
@@ -42,14 +42,14 @@
 		c := r.dial(t)
 		c.say(read("a"))
 		c.want("v-a")
-		x := r.onlyCaller()
+		x := r.onlyClient()
 		release := heldPoller()
-		wire.OnPoller(x.part)
+		wire.OnPoller(x.closeIfDue)
 		c.say(read("b"))
 		time.Sleep(20 * time.Millisecond)
 		r.drainedAt()
 		if !first {
-			wire.OnPoller(x.part)
+			wire.OnPoller(x.closeIfDue)
 		}
 		release()
 		c.want("v-b")
@@ -61,7 +61,7 @@
 func TestPartsCrossTheStop(t *testing.T) {
 	r := newRig(t, plan{sockets: 1024, workers: []string{worker(t, good)}})
 	text := func(at int) string { return move(fmt.Sprintf("m%03d", at)) }
-	clients := make([]testCaller, len(text(0)))
+	clients := make([]testClient, len(text(0)))
 	for at := 1; at < len(clients); at++ {
 		clients[at] = r.dial(t)
 		clients[at].say(text(at)[:at])
@@ -69,13 +69,13 @@
 	parts := func() (n int) {
 		done := make(chan int)
 		wire.OnPoller(func() { // what has come by now has been read, or will be by the next turn
-			wire.OnPoller(func() { done <- len(r.p.booked()) })
+			wire.OnPoller(func() { done <- len(r.p.clientList()) })
 		})
 		return <-done
 	}
 	r.wait("the parts", func() bool { return parts() == len(clients)-1 })
 	r.drainedAt()
-	time.Sleep(3 * lookEvery)
+	time.Sleep(3 * sweepEvery)
 	for at := 1; at < len(clients); at++ {
 		clients[at].say(text(at)[at:])
 	}
@@ -91,12 +91,12 @@
 // comes once the sentry has stopped listening is refused.
 func TestAcceptedAsTheLastLeaves(t *testing.T) {
 	r := served(t, worker(t, good))
-	r.wait("looks at no clients", func() bool { return len(r.p.booked()) == 0 })
+	r.wait("looks at no clients", func() bool { return len(r.p.clientList()) == 0 })
 	release := heldPoller()
 	c := r.dial(t)
 	c.say(read("late"))
 	r.drainedAt()
-	time.Sleep(3 * lookEvery) // it finds no clients
+	time.Sleep(3 * sweepEvery) // it finds no clients
 	release()
 	c.want("v-late")
 	c.want("closed")
@@ -115,19 +115,19 @@
 // has been idle for longest.
 func TestBoundCrossesACommand(t *testing.T) {
 	r := newRig(t, plan{sockets: 160, workers: []string{worker(t, good)}})
-	all := make([]testCaller, r.p.post.Load().callers())
+	all := make([]testClient, r.p.post.Load().clientLimit())
 	for i := range all {
 		all[i] = r.dial(t)
 		all[i].say(read(fmt.Sprint("r", i)))
 		all[i].want(fmt.Sprint("v-r", i))
 	}
 	release := heldPoller()
-	more := make(chan testCaller, 1)
+	more := make(chan testClient, 1)
 	wire.OnPoller(func() { // the oldest's command stands in the system as the new one is taken up
 		all[0].say(read("oldest"))
 		time.Sleep(20 * time.Millisecond)
-		oldest, since := (*caller)(nil), time.Time{}
-		for _, x := range r.p.booked() {
+		oldest, since := (*clientConn)(nil), time.Time{}
+		for _, x := range r.p.clientList() {
 			x.mu.Lock()
 			if oldest == nil || x.used.Before(since) {
 				oldest, since = x, x.used
@@ -144,7 +144,7 @@
 	c := <-more
 	c.say(read("new"))
 	c.want("v-new")
-	r.wait("one closed", func() bool { return len(r.p.booked()) == len(all) })
+	r.wait("one closed", func() bool { return len(r.p.clientList()) == len(all) })
 }
 
 // Pipelined commands come in pieces around the stop. Those that had been read, the one in part, and whatever a worker has seen
@@ -196,8 +196,8 @@
 		good(c, n, words)
 	})}, decide: toFirst(func(*input.Input) {}),
 		other: []string{`"deadline_ns":900000000`, `"deadline_ns":20000000000`}})
-	bound := r.p.post.Load().callers()
-	all := make([]testCaller, bound)
+	bound := r.p.post.Load().clientLimit()
+	all := make([]testClient, bound)
 	patient := func(id string) string { return commandOf("Q.ASK", "key-"+id, id, "c=read,t=acme,d=20000") }
 	for i := range all {
 		all[i] = r.dial(t)
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -121,7 +121,7 @@
 	}
 	p.Sheet = &orders.Sheet{Standing: standing, Post: orders.Post{Listen: f.Listen, Seed: int64(seed)},
 		ProfileNames: byPlace(names.Profiles), AccountNames: byPlace(names.Accounts), Zones: byPlace(zones)}
-	ways := p.Sockets - p.callers() - ownSockets
+	ways := p.Sockets - p.clientLimit() - ownSockets
 	p.Sheet.Bounds = orders.Bounds{Inbox: 1024, Open: p.Sockets, Connections: ways, HandOffsConnection: max(1, names.Streams),
 		Ways: ways, IdleShare: 2}
 	return p, nil
@@ -158,8 +158,8 @@
 // and connections that close while others are accepted.
 const ownSockets = 40
 
-// callers is how many clients may be connected: those that ask need a third of the descriptors at the most.
-func (p *Post) callers() int { return p.Sockets / 3 }
+// clientLimit is how many clients may be connected: those that ask need a third of the descriptors at the most.
+func (p *Post) clientLimit() int { return p.Sockets / 3 }
 
 // noticeWithin is how long after discovery had a change it counts as told, whether or not it arrived (PROTOCOL, Figures).
 const noticeWithin = 6 * time.Second
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -12,11 +12,11 @@
 // and SIGKILL would find them unanswered. logic/drain.go says when each step of a planned stop is due.
 
 const (
-	stopAfter = time.Duration(logic.StopReadingAfter) * time.Microsecond
+	stopReadingAfter = time.Duration(logic.StopReadingAfter) * time.Microsecond
 	// New connections go on coming for 0.4 s after the process was asked to stop, and may be late.
 	listenFor = 500 * time.Millisecond
 	// How often the clients are looked at while the process is to stop.
-	drainLookEvery = 20 * time.Millisecond
+	drainSweepEvery = 20 * time.Millisecond
 	// A client that has acknowledged all and does not close at the end of the stream is closed after this; one that has sent
 	// what was not read may have yet to come to its answers, and has longer.
 	linger     = 40 * time.Millisecond
@@ -32,8 +32,8 @@
 	p.drainLongest.Store(int64(p.post.Load().Sheet.OuterLimit()))
 	p.sentry.AnswerWithin(time.Duration(p.drainSchedule().AnswerBy) * time.Microsecond)
 	go func() {
-		for range p.ticks(drainLookEvery) {
-			p.lookAtClients()
+		for range p.ticks(drainSweepEvery) {
+			p.sweepClients()
 		}
 	}()
 }
@@ -55,15 +55,15 @@
 }
 
 // drained says whether clients are to go.
-func (p *Platform) drained() bool { return p.drainedFor(stopAfter) }
+func (p *Platform) drained() bool { return p.drainedFor(stopReadingAfter) }
 
-// lookAtClients has those clients closed that are idle or to leave. Once none is left, a process that is to stop stops.
-func (p *Platform) lookAtClients() {
+// sweepClients has those clients closed that are idle or to leave. Once none is left, a process that is to stop stops.
+func (p *Platform) sweepClients() {
 	now := time.Now()
 	schedule := p.drainSchedule()
 	answered := p.drainedFor(time.Duration(schedule.AnswerBy) * time.Microsecond)
 	over := p.drainedFor(time.Duration(schedule.CloseBy) * time.Microsecond)
-	all := p.booked()
+	all := p.clientList()
 	for _, c := range all {
 		switch {
 		case over:
@@ -71,7 +71,7 @@
 		case c.partOver(now, answered):
 			c.giveUpPart()
 		case c.wantsTurn(now):
-			wire.OnPoller(c.part)
+			wire.OnPoller(c.closeIfDue)
 		}
 	}
 	switch {
@@ -88,16 +88,16 @@
 }
 
 // wantsTurn says whether a client may have to be closed, which is for the poller to see.
-func (c *caller) wantsTurn(now time.Time) bool {
+func (c *clientConn) wantsTurn(now time.Time) bool {
 	c.mu.Lock()
-	leaves := c.leaves() && !c.stopped
+	closes := c.shouldClose() && !c.stopped
 	c.mu.Unlock()
-	return leaves || c.idle(now)
+	return closes || c.idle(now)
 }
 
 // stopReading has a client that is to leave read no further than the command in part, on the poller. One that has nothing
 // open is closed at once, unless something of it stands unread: that is read first.
-func (c *caller) stopReading() {
+func (c *clientConn) stopReading() {
 	c.mu.Lock()
 	open, closing, stopped := len(c.queue) > 0, c.closing, c.stopped
 	c.mu.Unlock()
@@ -117,39 +117,39 @@
 }
 
 // hasRead goes on with a client that is to leave once something of it was read.
-func (c *caller) hasRead() {
+func (c *clientConn) hasRead() {
 	c.mu.Lock()
-	leaves, stopped := c.leaves(), c.stopped
+	closes, stopped := c.shouldClose(), c.stopped
 	c.mu.Unlock()
 	switch {
 	case stopped:
 		c.endIfSettled()
-	case leaves:
-		wire.OnPoller(c.part)
+	case closes:
+		wire.OnPoller(c.closeIfDue)
 	}
 }
 
 // inPart says that a command has come in part on a connection that is read no further. The lock is held.
-func (c *caller) inPart() bool { return c.stopped && !c.closing && !c.begun.IsZero() }
+func (c *clientConn) inPart() bool { return c.stopped && !c.closing && !c.partialSince.IsZero() }
 
 // partOver says that a command in part has had its time.
-func (c *caller) partOver(now time.Time, answered bool) bool {
+func (c *clientConn) partOver(now time.Time, answered bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.inPart() && (answered || now.Sub(c.begun) > silentMost)
+	return c.inPart() && (answered || now.Sub(c.partialSince) > firstCommandTimeout)
 }
 
 // giveUpPart ends the wait for the rest of a command: it never came whole.
-func (c *caller) giveUpPart() {
+func (c *clientConn) giveUpPart() {
 	c.EndReading()
 	c.mu.Lock()
-	c.begun = time.Time{}
+	c.partialSince = time.Time{}
 	c.mu.Unlock()
 	c.endIfSettled()
 }
 
 // endIfSettled ends the connection of a client that is read no further once it has all its answers.
-func (c *caller) endIfSettled() {
+func (c *clientConn) endIfSettled() {
 	c.mu.Lock()
 	settled := c.stopped && !c.ending && len(c.queue) == 0 && !c.inPart()
 	c.ending = c.ending || settled
--- a/internal/platform/drain_test.go
+++ b/internal/platform/drain_test.go
@@ -86,7 +86,7 @@
 	}
 	c.say(text)
 	release()
-	time.Sleep(3 * lookEvery) // it ends the stream, and waits for this side's end
+	time.Sleep(3 * sweepEvery) // it ends the stream, and waits for this side's end
 	c.say(read("unread"))
 	for i := range 4 {
 		c.want(fmt.Sprint("v-r", i))
--- a/internal/platform/great_answers_test.go
+++ b/internal/platform/great_answers_test.go
@@ -53,7 +53,7 @@
 	r := newRig(t, plan{other: []string{`"memory_mb":64`, `"memory_mb":4`}, decide: toFirst(func(*input.Input) {}), workers: []string{worker(t, func(conn net.Conn, _ int, words []string) {
 		io.WriteString(conn, answer(words[2]+"-"+filler))
 	})}})
-	clients := make([]testCaller, 16)
+	clients := make([]testClient, 16)
 	for i := range clients { // none reads
 		clients[i] = r.dial(t)
 		for n := range requests {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -34,7 +34,7 @@
 	mu         sync.Mutex
 	breaker    breaker
 	budget     *wire.Budget // of what waits for clients
-	callers    map[*caller]struct{}
+	clients    map[*clientConn]struct{}
 	ids        map[string]struct{} // of open transactions
 	meanAnswer int64               // bytes of an answer
 }
@@ -44,7 +44,7 @@
 
 // New makes the ends that a configuration asks for.
 func New(post *Post, log zerolog.Logger) (*Platform, error) {
-	p := &Platform{log: log, wall: post.wall, done: make(chan struct{}), callers: map[*caller]struct{}{}, ids: map[string]struct{}{}}
+	p := &Platform{log: log, wall: post.wall, done: make(chan struct{}), clients: map[*clientConn]struct{}{}, ids: map[string]struct{}{}}
 	p.post.Store(post)
 	p.budget = wire.NewBudget(post.MemoryMB << 20 / answersShare)
 	p.discovery = newDiscovery(p, post.Discovery)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -326,14 +326,14 @@
 	c.say(flood)
 	time.AfterFunc(100*time.Millisecond, func() { close(hold) })
 	for i := range 300 {
-		if got := c.line(); (got != fmt.Sprint("v-r", i) || i >= mostBehind) && !strings.HasPrefix(got, "-BUSY") {
+		if got := c.line(); (got != fmt.Sprint("v-r", i) || i >= maxOpenCommands) && !strings.HasPrefix(got, "-BUSY") {
 			t.Errorf("answer %d: %q", i, got)
 		}
 	}
 	c.say(commandOf("PING"))
 	c.want("+PONG")
 	c.Close()
-	r.wait("no client", func() bool { r.p.mu.Lock(); defer r.p.mu.Unlock(); return len(r.p.callers)+len(r.p.ids) == 0 })
+	r.wait("no client", func() bool { r.p.mu.Lock(); defer r.p.mu.Unlock(); return len(r.p.clients)+len(r.p.ids) == 0 })
 }
 
 // When descriptors run out, silent clients close first and those that speak are served; hand-offs share the connections to
@@ -378,7 +378,7 @@
 		c.want(fmt.Sprint("v-r", i))
 	}
 	r.p.mu.Lock()
-	clients := len(r.p.callers)
+	clients := len(r.p.clients)
 	r.p.mu.Unlock()
 	mu.Lock()
 	defer mu.Unlock()
@@ -399,12 +399,12 @@
 	old.say(read("a"))
 	old.want("v-a")
 	r.p.Drain()
-	time.Sleep(stopAfter / 2) // they go on coming
+	time.Sleep(stopReadingAfter / 2) // they go on coming
 	late := r.dial(t)
 	late.say(commandOf("Q.ASK", "k", "slow", "c=read,t=acme,d=890"))
 	old.say(read("b"))
 	for _, x := range []struct {
-		c    testCaller
+		c    testClient
 		want string
 	}{{old, "v-b"}, {old, "closed"}, {late, "v-slow"}, {late, "closed"}} {
 		x.c.want(x.want)
--- a/internal/platform/rare_test.go
+++ b/internal/platform/rare_test.go
@@ -30,7 +30,7 @@
 func (r *rig) nobodyBooked() bool {
 	r.p.mu.Lock()
 	defer r.p.mu.Unlock()
-	return len(r.p.callers) == 0
+	return len(r.p.clients) == 0
 }
 
 // No attempt begins after its client has closed, though the loop has yet to hear of it: while the request, and one behind it
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -234,23 +234,23 @@
 func read(id string) string { return commandOf("Q.ASK", "key-"+id, id, "c=read,t=acme,d=800") }
 func move(id string) string { return commandOf("Q.DO", "key-"+id, id, "c=move,t=acme,d=800", "body") }
 
-// caller is a client's connection.
-type testCaller struct {
+// testClient is a client's connection.
+type testClient struct {
 	net.Conn
 	in *bufio.Reader
 	t  *testing.T
 }
 
-func (r *rig) dial(t *testing.T) testCaller {
+func (r *rig) dial(t *testing.T) testClient {
 	c := must(net.Dial("tcp", r.s.Address()))
 	t.Cleanup(func() { c.Close() })
-	return testCaller{c, bufio.NewReader(c), t}
+	return testClient{c, bufio.NewReader(c), t}
 }
 
-func (c testCaller) say(text string) { io.WriteString(c, text) }
+func (c testClient) say(text string) { io.WriteString(c, text) }
 
 // line reads a line, or the bulk string that it begins.
-func (c testCaller) line() string {
+func (c testClient) line() string {
 	c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	line, err := c.in.ReadString('\n')
 	line = strings.TrimSuffix(line, "\r\n")
@@ -265,7 +265,7 @@
 	return line
 }
 
-func (c testCaller) want(starts string) {
+func (c testClient) want(starts string) {
 	c.t.Helper()
 	if got := c.line(); !strings.HasPrefix(got, starts) {
 		c.t.Errorf("answer %.100q, expected %q", got, starts)
