--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -408,4 +408,3 @@
 	}
 	return l.peer.String()
 }
-
