--- a/cmd/scalechute/soak.go
+++ b/cmd/scalechute/soak.go
@@ -15,7 +15,7 @@
 
 func soakCommand() *cobra.Command {
 	var seed uint64
-	var runs, open, clients int
+	var runs, open, clients, answer int
 	var pause time.Duration
 	var breach string
 	var logged bool
@@ -39,7 +39,7 @@
 			for n := range uint64(max(runs, 0)) {
 				plan := soak.Draw(seed + n)
 				if open > 0 {
-					plan = soak.Pipelines(seed+n, clients, open, pause)
+					plan = soak.Pipelines(seed+n, clients, open, pause, answer)
 				}
 				if breach != "" {
 					plan = soak.Breaking(seed+n, breach)
@@ -66,6 +66,7 @@
 	c.Flags().IntVar(&runs, "runs", 1, "how many runs")
 	c.Flags().IntVar(&open, "open", 0, "requests open on each connection, in place of what the seed draws")
 	c.Flags().IntVar(&clients, "clients", 20, "clients, with --open")
+	c.Flags().IntVar(&answer, "answer", 64, "bytes of an answer, with --open")
 	c.Flags().DurationVar(&pause, "pause", 0, "pause before the next request at the most, with --open")
 	c.Flags().StringVar(&breach, "break", "", "have the process break a promise: close, skip or swap")
 	c.Flags().BoolVar(&logged, "log", false, "show the process's log")
--- a/cmd/scalechute/soak_test.go
+++ b/cmd/scalechute/soak_test.go
@@ -34,7 +34,7 @@
 		open  int
 		pause time.Duration
 	}{{1, 0}, {2, 0}, {4, 20 * time.Millisecond}, {8, 0}, {8, 20 * time.Millisecond}} {
-		soaked(t, soak.Pipelines(1, 20, c.open, c.pause))
+		soaked(t, soak.Pipelines(1, 20, c.open, c.pause, 64))
 	}
 }
 
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -48,6 +48,7 @@
 	Connections int             // that ended
 	Lost        int             // of these, such with a request dropped or found by the kill
 	Ended       []time.Duration // after SIGTERM, in each life
+	Memory      int64           // most that a process had, in bytes
 	Examples    []string        // the first few requests with a broken promise
 }
 
@@ -71,6 +72,7 @@
 		text += fmt.Sprintf(" %.2f", d.Seconds())
 	}
 	text += fmt.Sprintf(" s after SIGTERM, kill due at %.2f", r.Plan.killAfter().Seconds())
+	text += fmt.Sprintf("; %d MB", r.Memory>>20)
 	for b, n := range r.Breaches {
 		text += fmt.Sprintf("; %s (%d)", b, n)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -68,6 +68,7 @@
 	mostOpen        = 32
 	mostPause       = 50 * time.Millisecond
 	greatestValue   = 64 << 10
+	smallAnswer     = 64 // bytes
 	crowdClients    = 300
 	fewDescriptors  = 256
 	manyDescriptors = 1024
@@ -87,7 +88,7 @@
 	if seed%crowdOneIn == 0 {
 		p.Descriptors = fewDescriptors
 		for range crowdClients {
-			p.Clients = append(p.Clients, ClientPlan{Open: 1, Pause: mostPause, Answer: 64})
+			p.Clients = append(p.Clients, ClientPlan{Open: 1, Pause: mostPause, Answer: smallAnswer})
 		}
 	}
 	for range 1 + r.IntN(2) {
@@ -102,7 +103,7 @@
 }
 
 func drawClient(r *rand.Rand) ClientPlan {
-	c := ClientPlan{Open: []int{1, 2, 4, 8, mostOpen}[r.IntN(5)], Answer: 64}
+	c := ClientPlan{Open: []int{1, 2, 4, 8, mostOpen}[r.IntN(5)], Answer: smallAnswer}
 	if r.IntN(2) == 0 {
 		c.Pause = time.Duration(r.Int64N(int64(mostPause)))
 	}
@@ -148,13 +149,13 @@
 }
 
 // Pipelines is a plan of clients that keep the same number of requests open on a connection, with one life and no reloads.
-func Pipelines(seed uint64, clients, open int, pause time.Duration) *Plan {
+func Pipelines(seed uint64, clients, open int, pause time.Duration, answer int) *Plan {
 	p := &Plan{Seed: seed, Deadline: 900 * time.Millisecond, Descriptors: manyDescriptors, Lives: []LifePlan{{Terminate: 2 * time.Second}}}
 	for range 4 {
 		p.Servers = append(p.Servers, ServerPlan{Quick: time.Millisecond, Slow: 250 * time.Millisecond, SlowPerMille: 2, Hang: 2 * time.Second, HangPerMille: 1})
 	}
 	for range clients {
-		p.Clients = append(p.Clients, ClientPlan{Open: open, Pause: pause, Answer: 64})
+		p.Clients = append(p.Clients, ClientPlan{Open: open, Pause: pause, Answer: answer})
 	}
 	return p
 }
@@ -162,7 +163,7 @@
 // Breaking is a plan on which the process has every occasion to break a promise: full pipelines, and servers that answer out
 // of turn now and then.
 func Breaking(seed uint64, breach string) *Plan {
-	p := Pipelines(seed, 8, 8, 0)
+	p := Pipelines(seed, 8, 8, 0, smallAnswer)
 	for i := range p.Servers {
 		p.Servers[i].SlowPerMille = 50
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -7,6 +7,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -25,6 +28,7 @@
 type process struct {
 	command *exec.Cmd
 	ended   chan struct{} // closed once it has ended
+	memory  atomic.Int64  // the most that it has had, in bytes
 }
 
 // configure writes the configuration's file.
@@ -51,6 +55,7 @@
 		x.command.Wait()
 		close(x.ended)
 	}()
+	go x.watchMemory()
 	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if ready(address) {
 			return x, nil
@@ -74,6 +79,29 @@
 	return err == nil
 }
 
+// memoryEvery is how often the process's memory is looked at.
+const memoryEvery = 50 * time.Millisecond
+
+// watchMemory keeps the most memory that the process has had, until it ends. (What the system tells after the end counts this
+// program's own memory at the start, too.)
+func (x *process) watchMemory() {
+	file := fmt.Sprintf("/proc/%d/status", x.command.Process.Pid)
+	for {
+		select {
+		case <-x.ended:
+			return
+		case <-time.After(memoryEvery):
+		}
+		status, _ := os.ReadFile(file)
+		if _, after, found := strings.Cut(string(status), "VmHWM:"); found {
+			if fields := strings.Fields(after); len(fields) > 0 {
+				kilobytes, _ := strconv.ParseInt(fields[0], 10, 64)
+				x.memory.Store(kilobytes << 10)
+			}
+		}
+	}
+}
+
 func (x *process) signal(s syscall.Signal) { x.command.Process.Signal(s) }
 
 func (x *process) kill() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -124,6 +124,7 @@
 	time.Sleep(resetWithin) // connections that the end has cut are told of as of this life
 	x.mu.Lock()
 	x.result.Ended = append(x.result.Ended, ended)
+	x.result.Memory = max(x.result.Memory, p.memory.Load())
 	x.mu.Unlock()
 }
 
