A link that is read no further goes on with a descriptor of its own

Cause: the dependency closes connections that the other side has ended on a goroutine of its own (onhups), not on the poller, and looks only then whether the connection was detached; the descriptor could be closed under the link and be another's. Change: the link duplicates its descriptor and has the dependency close the other one. Why it holds: whether the dependency closes first or second, it closes its own descriptor alone, and the link's callback tells by the lock which came first.

--- a/internal/wire/detach.go
+++ b/internal/wire/detach.go
@@ -122,11 +122,11 @@
 }
 
 // detach takes a link from the dependency, on the poller, and says whether it is detached. What had been read by then has
-// gone through the reader.
+// gone through the reader. The link goes on with a descriptor of its own: the dependency may be closing its one just now, on
+// another goroutine, since the other side has ended the connection.
 func (l *Link) detach(mode readMode) bool {
 	w := theWatcher()
-	conn, ok := l.conn.(interface{ Detach() error })
-	if w == nil || !ok {
+	if w == nil {
 		return false
 	}
 	l.fdMu.Lock()
@@ -134,16 +134,20 @@
 		l.fdMu.Unlock()
 		return false
 	}
-	was := l.detached
-	l.detached, l.mode = true, mode
-	l.fdMu.Unlock()
-	if !was {
-		_ = conn.Detach()
+	l.mode = mode
+	var given netpoll.Connection
+	if !l.detached {
+		own, err := duplicate(l.fd)
+		if err != nil {
+			l.fdMu.Unlock()
+			return false
+		}
+		given, l.fd, l.detached = l.conn, own, true
 	}
-	l.fdMu.Lock()
-	defer l.fdMu.Unlock()
-	if !l.gone {
-		w.set(l)
+	w.set(l)
+	l.fdMu.Unlock()
+	if given != nil {
+		_ = given.Close()
 	}
 	return true
 }
@@ -319,7 +323,7 @@
 func (l *Link) adopt(conn netpoll.Connection) {
 	conn.AddCloseCallback(func(netpoll.Connection) error {
 		l.fdMu.Lock()
-		if l.detached {
+		if l.detached || l.conn != conn { // the link goes on without it
 			l.fdMu.Unlock()
 			return nil
 		}
