Soak: the process is held up for 0.15 s in half of its ends

Change: SIGSTOP and SIGCONT 0.15 s apart at a drawn time after SIGTERM, from a stream of numbers of its own, so that the seeds draw all else as before. The auditor waits 0.8 s for the reset of unread requests.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -213,8 +213,9 @@
 	acked uint64 // bytes that had come to the process's machine before the end
 }
 
-// resetWithin is how long after the end of the stream the reset of a close over unread bytes may come.
-const resetWithin = 400 * time.Millisecond
+// resetWithin is how long after the end of the stream the reset of a close over unread bytes may come: the process gives the
+// client a while to come to its answers, and may be held up.
+const resetWithin = 800 * time.Millisecond
 
 // settle waits for a reset that follows the end of the stream.
 func (x *connection) settle(reset bool) ending {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -20,6 +20,8 @@
 	// New connections go on coming for this long after SIGTERM, at the least and at the most.
 	leastNewConnections = 200 * time.Millisecond
 	mostNewConnections  = 400 * time.Millisecond
+	// A process may be held up for so long.
+	heldUp = 150 * time.Millisecond
 	// An answer that is later than its deadline by this much is lost.
 	lateBy = 500 * time.Millisecond
 )
@@ -60,6 +62,7 @@
 	Terminate time.Duration   // SIGTERM
 	Repeats   []time.Duration // after it: further SIGTERM
 	ReloadsIn []time.Duration // after it: further SIGHUP
+	HeldUp    time.Duration   // after it: the process stands still for heldUp from then on, 0 if it never does
 }
 
 // Bounds of what is drawn.
@@ -94,9 +97,23 @@
 	for range 1 + r.IntN(2) {
 		p.Lives = append(p.Lives, drawLife(r))
 	}
+	p.drawHolds()
 	return p
 }
 
+// holdsStream is the stream of random numbers of its own that the times of being held up come from.
+const holdsStream = 1 << 32
+
+// drawHolds has the process held up once in about half of its ends, up to the time at which it is killed.
+func (p *Plan) drawHolds() {
+	r := rand.New(rand.NewPCG(p.Seed, holdsStream))
+	for i := range p.Lives {
+		if r.IntN(2) == 0 {
+			p.Lives[i].HeldUp = time.Duration(1 + r.Int64N(int64(p.killAfter()-heldUp)))
+		}
+	}
+}
+
 func drawServer(r *rand.Rand) ServerPlan {
 	return ServerPlan{Quick: time.Millisecond, Slow: 250 * time.Millisecond, SlowPerMille: r.Uint64N(100),
 		Hang: 2 * time.Second, HangPerMille: r.Uint64N(30)}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -108,6 +108,10 @@
 	p.signal(syscall.SIGTERM)
 	x.during(p, life.ReloadsIn, syscall.SIGHUP)
 	x.during(p, life.Repeats, syscall.SIGTERM)
+	if life.HeldUp > 0 {
+		x.during(p, []time.Duration{life.HeldUp}, syscall.SIGSTOP)
+		x.during(p, []time.Duration{life.HeldUp + heldUp}, syscall.SIGCONT)
+	}
 	newConnections := leastNewConnections + time.Duration(x.plan.Seed%2)*(mostNewConnections-leastNewConnections)
 	time.AfterFunc(newConnections, func() { x.accept(false) })
 	select {
