A server's end closes its listener's descriptor once

Cause: the dependency's listener closes its descriptor by number and again by the file that holds it; in between the number may have become another's. Ruled out: the links' descriptors, each closed once under a lock. Why it holds: one owner of the descriptor, and a shutdown only while it is open.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -15,12 +13,12 @@
 
 // Server takes connections.
 type Server struct {
-	Address string
-	loop    netpoll.EventLoop
-	fd      int // of the listener
-	mu      sync.Mutex
-	links   map[*Link]struct{}
-	open    int // sockets
+	Address  string
+	loop     netpoll.EventLoop
+	listener *listener
+	mu       sync.Mutex
+	links    map[*Link]struct{}
+	open     int // sockets
 
 	accepted atomic.Int64
 
@@ -35,32 +33,13 @@
 	})
 }
 
-// listenWithin is how long a listener is tried for while the system is short of what it takes.
-const listenWithin = 5 * time.Second
-
-func listen(address string) (net.Listener, error) {
-	for end, wait := time.Now().Add(listenWithin), firstDialWait; ; wait = min(2*wait, longestDialWait) {
-		listener, err := net.Listen("tcp", address)
-		if err == nil || !passesInDial(err) || time.Now().After(end) {
-			return listener, err
-		}
-		time.Sleep(wait)
-	}
-}
-
 // ServeRaw is Serve for readers of bytes.
 func ServeRaw(address string, b Bounds, accept func(*Link) (Reader, func(*Link, error))) (*Server, error) {
-	listener, err := listen(address)
-	if err != nil {
-		return nil, err
-	}
-	s := &Server{Address: listener.Addr().String(), links: map[*Link]struct{}{}}
-	converted, err := netpoll.ConvertListener(listener)
+	listener, err := newListener(address)
 	if err != nil {
 		return nil, err
 	}
-	s.fd = converted.Fd()
-	wrapped := &announced{Listener: converted, ready: make(chan struct{})}
+	s := &Server{Address: listener.Addr().String(), listener: listener, links: map[*Link]struct{}{}}
 	type linkKey struct{}
 	loop, err := netpoll.NewEventLoop(
 		func(ctx context.Context, conn netpoll.Connection) error {
@@ -99,28 +78,16 @@
 		return nil, err
 	}
 	s.loop = loop
-	go loop.Serve(wrapped)
-	<-wrapped.ready // else a Close that comes at once would find nothing to close
+	go loop.Serve(listener)
+	<-listener.ready // else a Close that comes at once would find nothing to close
 	return s, nil
 }
 
-// announced tells when the event loop has taken up a listener.
-type announced struct {
-	netpoll.Listener
-	once  sync.Once
-	ready chan struct{}
-}
-
-func (a *announced) Fd() int {
-	a.once.Do(func() { close(a.ready) })
-	return a.Listener.Fd()
-}
-
 // CloseListenerNow refuses new connections, and closes those that the system had accepted with nothing of them read.
 func (s *Server) CloseListenerNow() {
 	OnPoller(func() {
 		s.StopListening()
-		_ = syscall.Shutdown(s.fd, syscall.SHUT_RDWR)
+		s.listener.shutdown()
 	})
 }
 
@@ -143,7 +110,7 @@
 				return
 			}
 			s.StopListening()
-			_ = syscall.Shutdown(s.fd, syscall.SHUT_RDWR)
+			s.listener.shutdown()
 			closed(true)
 		})
 	})
