Soak runs under the race detector: no sleep at the process's end, a reader's numbers its own

Cause: the process there is built with the race detector, which sleeps for 1 s as a program ends; its log has 'stopped' 0.5 ms after 'stopping' in each. The race: a client's reader and writer drew from one source of numbers, in the soak alone. Change: GORACE=atexit_sleep_ms=0 for the process, the race detector stays on; a source of its own for the reader. Result: TestPipelinesEndBeforeTheKill, TestSoak and TestSoakNamesEachBreak pass under the race detector.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -30,7 +30,8 @@
 	run      *run
 	name     string
 	plan     ClientPlan
-	random   *rand.Rand
+	random   *rand.Rand // the writer's
+	delays   *rand.Rand // the reader's
 	requests int
 	filler   string
 }
@@ -153,7 +154,7 @@
 	in := newMessages(x.conn, false)
 	for {
 		if x.plan.ReadDelay > 0 {
-			time.Sleep(time.Duration(x.random.Int64N(int64(x.plan.ReadDelay))))
+			time.Sleep(time.Duration(x.delays.Int64N(int64(x.plan.ReadDelay))))
 		}
 		values, err := in.next()
 		var malformed *resp.Malformed
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -46,7 +46,8 @@
 		arguments = append(arguments, "--break", p.Break)
 	}
 	x := &process{command: exec.Command(program[0], arguments...), ended: make(chan struct{})}
-	x.command.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+	// A program that is built with the race detector sleeps for a second as it ends, unless it is told not to.
+	x.command.Env = append(os.Environ(), "EDGE_CONFIG="+file, "GORACE=atexit_sleep_ms=0")
 	x.command.Stderr = log
 	if err := x.command.Start(); err != nil {
 		return nil, err
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -67,12 +67,16 @@
 	return x.result, x.play(o, file)
 }
 
+// delaysStream is the first stream of random numbers for the delays of clients' reads.
+const delaysStream = 1 << 33
+
 // play has the clients go on through all lives of the process.
 func (x *run) play(o Options, file string) error {
 	var clients sync.WaitGroup
 	filler := strings.Repeat("y", greatestValue)
 	for i, plan := range x.plan.Clients {
-		c := &client{run: x, name: fmt.Sprint("c", i), plan: plan, random: rand.New(rand.NewPCG(x.plan.Seed, uint64(i+1))), filler: filler}
+		c := &client{run: x, name: fmt.Sprint("c", i), plan: plan, filler: filler,
+			random: rand.New(rand.NewPCG(x.plan.Seed, uint64(i+1))), delays: rand.New(rand.NewPCG(x.plan.Seed, delaysStream+uint64(i)))}
 		clients.Go(c.play)
 	}
 	defer clients.Wait()
