platform: queue a command in the step in which it stops being partial

Cause: clientConn.read took a complete command in two steps under separate locks: it was no longer partial, then, after parsing, its reply was queued. The rest of a command is read on the watcher's goroutine, so an earlier command's reply or the stop itself saw nothing open or partial in between, and ended the stream. The five flags behind that question are replaced by one state machine (lifecycle.go), whose events are reported under the connection's lock together with the change they are about.

TestLifecycleInEveryOrder plays all orders of up to 13 events and finds the fault when it is put back.

clients.go is split: commands and replies have files of their own.

--- /dev/null
+++ b/internal/platform/client_commands.go
@@ -0,0 +1,140 @@
+package platform
+
+import (
+	"time"
+
+	"scalechute/internal/resp"
+	"scalechute/internal/wire"
+)
+
+// read handles the commands that have arrived. It reads no further once the client's input is ignored.
+func (c *clientConn) read(_ *wire.Link, data []byte) ([]byte, error) {
+	defer c.afterRead()
+	for len(data) > 0 && c.readsCommands() {
+		message, rest, complete, err := c.reader.Next(data)
+		if err != nil {
+			c.rejectInput(err)
+			return nil, nil
+		}
+		if !complete {
+			c.notePartialCommand()
+			return data, nil
+		}
+		id, openBefore, accepted := c.openCommand()
+		switch {
+		case !accepted: // the connection has closed
+			return nil, nil
+		case openBefore >= maxOpenCommands: // it was read, so it gets a reply; closing would also drop the commands after it
+			c.replyWithLine(id, "-BUSY")
+		default:
+			c.handleCommand(id, message)
+		}
+		data = rest
+	}
+	return nil, nil
+}
+
+// readsCommands reports whether commands that arrive are to be handled.
+func (c *clientConn) readsCommands() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.lifecycle.ignoresInput && c.lifecycle.state <= stateReadingRest
+}
+
+// openCommand queues the reply of a command that was read completely, and returns the ID under which the reply is to be
+// given. From then on the connection does not end before that reply. openBefore is the number of other open commands.
+// accepted is false if the connection has closed.
+func (c *clientConn) openCommand() (id uint64, openBefore int, accepted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	openBefore = len(c.replies)
+	if !c.lifecycle.commandRead() {
+		return 0, openBefore, false
+	}
+	c.replies = append(c.replies, reply{})
+	c.lastUsed, c.partialSince, c.hasSentCommand = time.Now(), time.Time{}, true
+	return c.firstReplyID + uint64(openBefore), openBefore, true
+}
+
+// notePartialCommand notes that a part of a command was read.
+func (c *clientConn) notePartialCommand() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lifecycle.partialRead()
+	if c.partialSince.IsZero() {
+		c.partialSince = time.Now()
+	}
+}
+
+// rejectInput replies to data that is no command with an error. Whatever follows is ignored.
+func (c *clientConn) rejectInput(problem error) {
+	id, _, accepted := c.openCommand()
+	if accepted {
+		c.ignoreInput()
+		c.replyWithLine(id, "-ERR Protocol error: "+problem.Error())
+	}
+}
+
+// ignoreInput has everything ignored that follows the command that is being handled. Its reply is still awaited.
+func (c *clientConn) ignoreInput() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lifecycle.ignoreInput()
+}
+
+// handleCommand replies to a command or passes its transaction to the sentry.
+func (c *clientConn) handleCommand(id uint64, message []resp.Value) {
+	switch string(message[1].Text) {
+	case "Q.ASK", "Q.DO":
+		c.handleTransaction(id, message)
+	case "PING":
+		c.replyWithLine(id, "+PONG")
+	case "CLIENT", "SELECT":
+		c.replyWithLine(id, "+OK")
+	case "QUIT":
+		c.ignoreInput()
+		c.replyWithLine(id, "+OK")
+	default:
+		c.replyWithLine(id, "-ERR unknown command")
+	}
+}
+
+// handleTransaction passes a transaction to the sentry, unless its command is invalid or there is no room for it.
+func (c *clientConn) handleTransaction(id uint64, message []resp.Value) {
+	parsed, problem := c.platform.config.Load().parseCommand(message, c.payloadBuffer[:0])
+	if problem != "" {
+		c.replyWithLine(id, "-ERR "+problem)
+		return
+	}
+	c.payloadBuffer = parsed.transaction.Payload
+	if !c.platform.hasReplyBudget() {
+		c.replyWithLine(id, "-BUSY")
+		return
+	}
+	requestID := string(parsed.requestID)
+	if !c.platform.claimRequestID(requestID) {
+		c.replyWithLine(id, "-ERR found the id of an open request, expected a new one")
+		return
+	}
+	c.noteRequestID(id, requestID)
+	parsed.transaction.ID = id
+	c.handler.TransactionReceived(&parsed.transaction)
+}
+
+// noteRequestID notes the request ID of an open command, which removeClient releases if the connection closes.
+func (c *clientConn) noteRequestID(id uint64, requestID string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replies[id-c.firstReplyID].requestID = requestID
+}
+
+// claimRequestID registers the id of a request. It returns false if a request with that id is open.
+func (p *Platform) claimRequestID(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, open := p.openRequests[id]; open {
+		return false
+	}
+	p.openRequests[id] = struct{}{}
+	return true
+}
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -3,14 +3,12 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"scalechute/internal/resp"
 	"scalechute/internal/sentry"
 	"scalechute/internal/wire"
-	"scalechute/internal/wire/pb"
 )
 
 const (
@@ -26,10 +24,6 @@
 	clientSweepInterval = 100 * time.Millisecond
 	// When more bytes than this wait to be written to a client, reading from it pauses until half of this is left.
 	maxUnwrittenBytes = 1 << 20
-	// Number of replies over which the mean reply size is averaged, exponentially.
-	meanReplyWindow = 16
-	// Memory that a queued reply takes in addition to its text.
-	replyOverheadBytes = 64
 )
 
 // clientConn is a client's connection. Replies are written in the order of the commands.
@@ -40,33 +34,18 @@
 	reader   resp.Reader
 
 	mu             sync.Mutex
-	replies        []reply // one for each command without a written reply, the oldest first
+	replies        []reply // one for each open command, the oldest first
 	firstReplyID   uint64  // transaction ID that belongs to replies[0]; each reply has the next one
+	lifecycle      lifecycle
 	lastUsed       time.Time
 	partialSince   time.Time // start of the partial command, or of a connection without a complete one; else zero
 	hasSentCommand bool      // a complete command has arrived
-	closing        bool      // further commands are ignored
 	overLimit      bool      // accepted beyond the client limit: closed once it has no open commands
-	readStopped    bool      // nothing is read after the partial command
-	finishing      bool      // all replies are queued for writing, and the close has begun
 	payloadBuffer  []byte    // reused by handleCommand
 	// progress of an idle client that has unread replies; used only on the poller
 	readProgress wire.ReadProgress
 }
 
-// reply is the reply to one command, possibly still awaited.
-type reply struct {
-	requestID string // empty if the command is not a transaction
-	text      []byte
-	ready     bool
-	counted   bool // its size is counted as buffered on the link
-
-	skipped bool // not written, because of an injected fault
-}
-
-// size returns the memory that the reply takes, in bytes.
-func (r *reply) size() int { return replyOverheadBytes + len(r.text) }
-
 // Listen accepts clients of the sentry and returns the listener's address.
 func (p *Platform) Listen(s *sentry.Sentry) (string, error) {
 	p.sentry = s
@@ -110,7 +89,7 @@
 	var candidates []candidate
 	for _, other := range p.listClients() {
 		other.mu.Lock()
-		if other != c && !other.closing && len(other.replies) == 0 && (other.partialSince.IsZero() || !other.hasSentCommand) {
+		if other != c && other.lifecycle.isReading() && other.lifecycle.openCommands == 0 && (other.partialSince.IsZero() || !other.hasSentCommand) {
 			candidates = append(candidates, candidate{other, other.hasSentCommand, other.lastUsed})
 		}
 		other.mu.Unlock()
@@ -134,7 +113,9 @@
 }
 
 // shouldClose reports whether the client is to be closed once it has all its replies. The caller holds c.mu.
-func (c *clientConn) shouldClose() bool { return c.closing || c.overLimit || c.platform.closingAll() }
+func (c *clientConn) shouldClose() bool {
+	return c.lifecycle.ignoresInput || c.overLimit || c.platform.closingAll()
+}
 
 // listClients returns the connected clients.
 func (p *Platform) listClients() []*clientConn {
@@ -152,7 +133,7 @@
 			ids = append(ids, r.requestID)
 		}
 	}
-	c.closing = true
+	c.lifecycle.close()
 	c.mu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -178,7 +159,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.closing || len(c.replies) > 0:
+	case c.lifecycle.ignoresInput || c.lifecycle.state == stateClosed || c.lifecycle.openCommands > 0:
 		return false
 	case c.partialSince.IsZero():
 		return now.Sub(c.lastUsed) > idleTimeout
@@ -210,189 +191,3 @@
 		c.Close(wire.ErrSlowReader)
 	}
 }
-
-// read handles the commands that have arrived. It reads no further once the connection is closing.
-func (c *clientConn) read(_ *wire.Link, data []byte) ([]byte, error) {
-	defer c.afterRead()
-	for len(data) > 0 {
-		c.mu.Lock()
-		closing := c.closing
-		c.mu.Unlock()
-		if closing {
-			return nil, nil
-		}
-		message, rest, complete, err := c.reader.Next(data)
-		if err != nil {
-			c.replyWithLine("-ERR Protocol error: "+err.Error(), true)
-			return nil, nil
-		}
-		c.mu.Lock()
-		now := time.Now()
-		if !complete {
-			if c.partialSince.IsZero() {
-				c.partialSince = now
-			}
-			c.mu.Unlock()
-			return data, nil
-		}
-		c.lastUsed, c.partialSince, c.hasSentCommand = now, time.Time{}, true
-		openCommands := len(c.replies)
-		c.mu.Unlock()
-		if openCommands >= maxOpenCommands { // it was read, so it gets a reply; closing would also drop the commands after it
-			c.replyWithLine("-BUSY", false)
-			data = rest
-			continue
-		}
-		c.handleCommand(message)
-		data = rest
-	}
-	return nil, nil
-}
-
-// replyWithLine queues a one-line reply after those of earlier commands. With closeAfter it then closes the connection.
-func (c *clientConn) replyWithLine(line string, closeAfter bool) {
-	c.mu.Lock()
-	c.replies = append(c.replies, reply{text: resp.AppendLine(nil, resp.Kind(line[0]), line[1:]), ready: true})
-	c.countBuffered(&c.replies[len(c.replies)-1])
-	if closeAfter {
-		c.closing = true
-	}
-	c.writeReady()
-	c.mu.Unlock()
-	c.Flush()
-}
-
-// handleCommand replies to a command or passes its transaction to the sentry.
-func (c *clientConn) handleCommand(message []resp.Value) {
-	switch string(message[1].Text) {
-	case "Q.ASK", "Q.DO":
-	case "PING":
-		c.replyWithLine("+PONG", false)
-		return
-	case "CLIENT", "SELECT":
-		c.replyWithLine("+OK", false)
-		return
-	case "QUIT":
-		c.replyWithLine("+OK", true)
-		return
-	default:
-		c.replyWithLine("-ERR unknown command", false)
-		return
-	}
-	parsed, problem := c.platform.config.Load().parseCommand(message, c.payloadBuffer[:0])
-	if problem != "" {
-		c.replyWithLine("-ERR "+problem, false)
-		return
-	}
-	c.payloadBuffer = parsed.transaction.Payload
-	if !c.platform.hasReplyBudget() {
-		c.replyWithLine("-BUSY", false)
-		return
-	}
-	id := string(parsed.requestID)
-	if !c.platform.claimRequestID(id) {
-		c.replyWithLine("-ERR found the id of an open request, expected a new one", false)
-		return
-	}
-	c.mu.Lock()
-	parsed.transaction.ID = c.firstReplyID + uint64(len(c.replies))
-	c.replies = append(c.replies, reply{requestID: id})
-	c.mu.Unlock()
-	c.handler.TransactionReceived(&parsed.transaction)
-}
-
-// hasReplyBudget reports whether the memory for replies suffices for one more request. Replies that wait to be written
-// count with their size, those of open requests and of the new one with the mean size.
-func (p *Platform) hasReplyBudget() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return int64(len(p.openRequests)+1)*p.meanReplyBytes <= p.replyBudget.Remaining()
-}
-
-// finishRequest releases the id of an open request and updates the mean reply size.
-func (p *Platform) finishRequest(id string, replyBytes int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.openRequests, id)
-	p.meanReplyBytes += (int64(replyBytes) - p.meanReplyBytes) / meanReplyWindow
-}
-
-// claimRequestID registers the id of a request. It returns false if a request with that id is open.
-func (p *Platform) claimRequestID(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if _, open := p.openRequests[id]; open {
-		return false
-	}
-	p.openRequests[id] = struct{}{}
-	return true
-}
-
-// Answer queues the reply to a transaction and writes it once all earlier commands have their replies. It returns false
-// if the connection has ended or awaits no such reply.
-func (c *clientConn) Answer(a *wire.Answer) bool {
-	c.mu.Lock()
-	index := a.ID - c.firstReplyID
-	if index >= uint64(len(c.replies)) || c.replies[index].ready || c.IsClosed() {
-		c.mu.Unlock()
-		return false
-	}
-	r := &c.replies[index]
-	id := r.requestID
-	r.ready = true
-	switch pb.Outcome(a.Outcome) {
-	case pb.Outcome_SATISFIED:
-		r.text = resp.AppendBulkString(r.text, a.Payload)
-	case pb.Outcome_DEFERRED:
-		line := "BUSY"
-		if a.RetryAfter > 0 {
-			line += " " + strconv.FormatUint(max(1, a.RetryAfter/1000), 10)
-		}
-		r.text = resp.AppendLine(r.text, resp.Error, line)
-	case pb.Outcome_NOT_TAKEN: // no hand-off was made, so a retry is safe
-		r.text = resp.AppendLine(r.text, resp.Error, "BUSY")
-	default:
-		r.text = resp.AppendLine(r.text, resp.Error, "ERR written off")
-	}
-	c.countBuffered(r)
-	size := len(r.text)
-	c.lastUsed = time.Now()
-	written := c.writeReady()
-	closes := len(c.replies) == 0 && !c.readStopped && c.shouldClose()
-	c.mu.Unlock()
-	c.platform.finishRequest(id, size)
-	if closes {
-		c.WhenWritten(func() { wire.RunOnPoller(c.closeIfDue) })
-	}
-	c.finishIfSettled()
-	return written
-}
-
-// countBuffered counts a reply that has to wait for earlier ones as buffered on the link. The caller holds c.mu.
-func (c *clientConn) countBuffered(r *reply) {
-	if r != &c.replies[0] {
-		r.counted = true
-		c.AddBuffered(r.size())
-	}
-}
-
-// writeReady passes the leading replies that are ready to the link. It returns false if the link has closed. The caller
-// holds c.mu.
-func (c *clientConn) writeReady() (ok bool) {
-	written := 0
-	ok = true
-	for written < len(c.replies) && c.replies[written].ready {
-		c.injectFault(c.replies[written:])
-		r := &c.replies[written]
-		if r.counted {
-			c.AddBuffered(-r.size())
-		}
-		if !r.skipped {
-			ok = c.PutRawUnbounded(r.text) && ok
-		}
-		written++
-	}
-	c.firstReplyID += uint64(written)
-	c.replies = slices.Delete(c.replies, 0, written)
-	return ok
-}
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -94,7 +94,7 @@
 // mayNeedClose reports whether closeIfDue should run on the poller to decide whether the client is closed.
 func (c *clientConn) mayNeedClose(now time.Time) bool {
 	c.mu.Lock()
-	shouldClose := c.shouldClose() && !c.readStopped
+	shouldClose := c.shouldClose() && c.lifecycle.isReading()
 	c.mu.Unlock()
 	return shouldClose || c.isIdle(now)
 }
@@ -104,63 +104,54 @@
 // poller.
 func (c *clientConn) stopReading() {
 	c.mu.Lock()
-	hasOpen, closing, stopped := len(c.replies) > 0, c.closing, c.readStopped
+	reading, quiet, ignoresInput := c.lifecycle.isReading(), c.lifecycle.isQuiet(), c.lifecycle.ignoresInput
 	c.mu.Unlock()
-	if stopped {
+	if !reading {
 		return
 	}
-	if settled := !hasOpen && !c.HasPartialMessage(); settled && (c.CloseIfIdle(wire.ErrClosed, false) || !closing) {
+	if quiet && (c.CloseIfIdle(wire.ErrClosed, false) || !ignoresInput) {
 		return
 	}
 	if !c.StopReadingAtMessageEnd(c.reader.MissingBytes) { // the system lacks a resource: the next sweep retries
 		return
 	}
+	// The rest of a partial command may have been read by now; the state machine knows it by then.
 	c.mu.Lock()
-	c.readStopped = true
+	finished := c.lifecycle.stopReading()
 	c.mu.Unlock()
-	c.finishIfSettled()
+	if finished {
+		c.endStream()
+	}
 }
 
 // afterRead continues the close of a client that is to be closed, after data of it was read.
 func (c *clientConn) afterRead() {
 	c.mu.Lock()
-	shouldClose, stopped := c.shouldClose(), c.readStopped
+	stops := c.lifecycle.isReading() && c.shouldClose()
 	c.mu.Unlock()
-	switch {
-	case stopped:
-		c.finishIfSettled()
-	case shouldClose:
+	if stops {
 		wire.RunOnPoller(c.closeIfDue)
 	}
 }
 
-// needsRest reports whether the rest of a partial command is awaited after reading has stopped. The caller holds c.mu.
-func (c *clientConn) needsRest() bool { return c.readStopped && !c.closing && !c.partialSince.IsZero() }
-
-// partialCommandExpired reports whether the time for the rest of a partial command is over.
+// partialCommandExpired reports whether the time for the rest of a partial command is over, once nothing else is read.
 func (c *clientConn) partialCommandExpired(now time.Time, answersDue bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.needsRest() && (answersDue || now.Sub(c.partialSince) > firstCommandTimeout)
+	return c.lifecycle.state == stateReadingRest && (answersDue || now.Sub(c.partialSince) > firstCommandTimeout)
 }
 
 // abandonPartialCommand stops waiting for the rest of a partial command.
 func (c *clientConn) abandonPartialCommand() {
 	c.StopReadingNow()
 	c.mu.Lock()
-	c.partialSince = time.Time{}
-	c.mu.Unlock()
-	c.finishIfSettled()
-}
-
-// finishIfSettled closes the connection of a client that is no longer read, once all its replies are passed on for
-// writing.
-func (c *clientConn) finishIfSettled() {
-	c.mu.Lock()
-	settled := c.readStopped && !c.finishing && len(c.replies) == 0 && !c.needsRest()
-	c.finishing = c.finishing || settled
+	finished := c.lifecycle.abandonPartial()
 	c.mu.Unlock()
-	if settled {
-		c.FlushAndClose(wire.ErrClosed, closeLinger, maxCloseLinger)
+	if finished {
+		c.endStream()
 	}
 }
+
+// endStream ends the stream to a client that is no longer read, once everything is written, and then closes the
+// connection. It is called once, when the state machine enters stateFinishing.
+func (c *clientConn) endStream() { c.FlushAndClose(wire.ErrClosed, closeLinger, maxCloseLinger) }
