platform: release the id of a request whose connection closes as it is handled

Callers would see a request refused as the duplicate of an open one for as long as the process lives, and a reply budget that shrinks by a mean answer each time.

Cause: handleCommand registered a request's id and then entered it on the connection; a close in between released only the ids entered so far.

The id is entered under the connection's lock, and released if the connection has closed by then.

--- a/internal/platform/client_commands.go
+++ b/internal/platform/client_commands.go
@@ -116,16 +116,24 @@
 		c.replyWithLine(id, "-ERR found the id of an open request, expected a new one")
 		return
 	}
-	c.noteRequestID(id, requestID)
+	if !c.noteRequestID(id, requestID) {
+		c.platform.releaseRequestID(requestID)
+		return
+	}
 	parsed.transaction.ID = id
 	c.handler.TransactionReceived(&parsed.transaction)
 }
 
-// noteRequestID notes the request ID of an open command, which removeClient releases if the connection closes.
-func (c *clientConn) noteRequestID(id uint64, requestID string) {
+// noteRequestID notes the request ID of an open command, which removeClient releases if the connection closes. It
+// returns false if the connection has closed already.
+func (c *clientConn) noteRequestID(id uint64, requestID string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.lifecycle.state == stateClosed {
+		return false
+	}
 	c.replies[id-c.firstReplyID].requestID = requestID
+	return true
 }
 
 // claimRequestID registers the id of a request. It returns false if a request with that id is open.
@@ -138,3 +146,10 @@
 	p.openRequests[id] = struct{}{}
 	return true
 }
+
+// releaseRequestID releases the id of a request that will get no reply.
+func (p *Platform) releaseRequestID(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.openRequests, id)
+}
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -57,3 +57,29 @@
 	c.expectReply("v-second")
 	c.expectReply("closed")
 }
+
+// A connection closes while a command of it is being handled. The id of the request is free again afterwards.
+//
+// It guards against ids that stay open for ever: the close released the ids of the connection's requests before the
+// command's id was noted there. Each such id took a share of the reply budget, and a request that used it again was
+// refused.
+func TestCloseCrossesCommand(t *testing.T) {
+	env := envWith(t, startWorker(t, answerValue))
+	c := env.dial(t)
+	c.send(readCmd("before"))
+	c.expectReply("v-before")
+	client := env.onlyClient()
+	used := client.lastUse()
+	env.p.mu.Lock() // holds the reader before it registers the id
+	c.send(readCmd("crossing"))
+	env.waitFor("the command", func() bool { return client.lastUse().After(used) })
+	go client.Close(wire.ErrClosed)
+	env.waitFor("the close", func() bool {
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		return client.lifecycle.state == stateClosed
+	})
+	env.p.mu.Unlock()
+	env.waitFor("no client", env.noClients)
+	env.waitFor("no open id", func() bool { env.p.mu.Lock(); defer env.p.mu.Unlock(); return len(env.p.openRequests) == 0 })
+}
