platform: keep values out of the kernel until the client's kernel takes them

Cause: values were given to the kernel as soon as they were ready, up to megabytes for a client that reads late, for longer than a drain lasts. The connection closes with unread commands of the client, which resets it, and the reset takes away what is not acknowledged.

Change: a value is passed on only when the client's kernel offers a window for it. After SIGTERM a client for which replies have waited for 40 ms is read no further, and 0.4 s before the close its waiting values become errors, for which 2 KiB of the window are kept. The class: stopReading went on reading a client with nothing open that had yet to acknowledge something; it stops now.

--- a/internal/platform/client_commands.go
+++ b/internal/platform/client_commands.go
@@ -20,11 +20,11 @@
 			c.notePartialCommand()
 			return data, nil
 		}
-		id, openBefore, accepted := c.openCommand()
+		id, awaitedBefore, accepted := c.openCommand()
 		switch {
 		case !accepted: // the connection has closed
 			return nil, nil
-		case openBefore >= maxOpenCommands: // it was read, so it gets a reply; closing would also drop the commands after it
+		case awaitedBefore >= maxOpenCommands: // it was read, so it gets a reply; closing would also drop the commands after it
 			c.replyWithLine(id, "-BUSY")
 		default:
 			c.handleCommand(id, message)
@@ -42,18 +42,19 @@
 }
 
 // openCommand queues the reply of a command that was read completely, and returns the ID under which the reply is to be
-// given. From then on the connection does not end before that reply. openBefore is the number of other open commands.
-// accepted is false if the connection has closed.
-func (c *clientConn) openCommand() (id uint64, openBefore int, accepted bool) {
+// given. From then on the connection does not end before that reply. awaitedBefore is the number of earlier commands that
+// await their replies or those of others. accepted is false if the connection has closed.
+func (c *clientConn) openCommand() (id uint64, awaitedBefore int, accepted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	openBefore = len(c.replies)
+	openBefore := len(c.replies)
+	awaitedBefore = openBefore - c.leadingReady()
 	if !c.lifecycle.commandRead() {
-		return 0, openBefore, false
+		return 0, awaitedBefore, false
 	}
 	c.replies = append(c.replies, reply{})
 	c.lastUsed, c.partialSince, c.hasSentCommand = time.Now(), time.Time{}, true
-	return c.firstReplyID + uint64(openBefore), openBefore, true
+	return c.firstReplyID + uint64(openBefore), awaitedBefore, true
 }
 
 // notePartialCommand notes that a part of a command was read.
--- a/internal/platform/client_replies.go
+++ b/internal/platform/client_replies.go
@@ -15,6 +15,13 @@
 	meanReplyWindow = 16
 	// Memory that a queued reply takes in addition to its text.
 	replyOverheadBytes = 64
+	// A reply of at most this size is passed on to the link even if the link has no room.
+	smallReplyBytes = 128
+	// A client counts as behind once replies have been waiting for it for this long.
+	behindAfter = 40 * time.Millisecond
+	// Delays before it is checked again whether the link has room; the delay doubles up to the maximum.
+	minRoomBackoff = 500 * time.Microsecond
+	maxRoomBackoff = 10 * time.Millisecond
 )
 
 // reply is the reply to one command, possibly still awaited.
@@ -103,19 +110,27 @@
 // has closed, and finished reports whether the stream is to end now. The caller holds c.mu.
 func (c *clientConn) completeReply(r *reply) (written, finished bool) {
 	r.ready = true
-	if r != &c.replies[0] { // it has to wait for earlier replies
+	if r != &c.replies[0] || !c.mayPassOn(r) {
 		r.counted = true
 		c.AddBuffered(r.size())
 	}
 	return c.writeReady()
 }
 
-// writeReady passes the leading replies that are ready to the link. written is false if the link has closed, and
-// finished reports whether the stream is to end now. The caller holds c.mu.
+// mayPassOn reports whether a reply whose turn it is may be passed on to the link. A large one is held back until the
+// client's kernel takes it at once, so that none is on its way to a client that reads late when the connection closes,
+// and the drain can still replace it. If such replies use up the reply budget, they are passed on all the same, since the
+// kernel has room for some. The caller holds c.mu.
+func (c *clientConn) mayPassOn(r *reply) bool {
+	return len(r.text) <= smallReplyBytes || c.HasWindowFor(len(r.text)) || c.platform.replyBudget.Remaining() <= 0
+}
+
+// writeReady passes the leading replies that are ready to the link, as far as it has room. written is false if the link
+// has closed, and finished reports whether the stream is to end now. The caller holds c.mu.
 func (c *clientConn) writeReady() (written, finished bool) {
 	passedOn := 0
 	written = true
-	for passedOn < len(c.replies) && c.replies[passedOn].ready {
+	for passedOn < len(c.replies) && c.replies[passedOn].ready && c.mayPassOn(&c.replies[passedOn]) {
 		c.injectFault(c.replies[passedOn:])
 		r := &c.replies[passedOn]
 		if r.counted {
@@ -129,9 +144,101 @@
 	}
 	c.firstReplyID += uint64(passedOn)
 	c.replies = slices.Delete(c.replies, 0, passedOn)
+	c.noteWaiting()
 	return written, finished
 }
 
+// noteWaiting notes whether replies wait for room on the link, and starts a goroutine that passes them on if so. The
+// caller holds c.mu.
+func (c *clientConn) noteWaiting() {
+	waiting := len(c.replies) > 0 && c.replies[0].ready && c.lifecycle.state != stateClosed
+	switch {
+	case !waiting:
+		c.waitingSince = time.Time{}
+	case c.waitingSince.IsZero():
+		c.waitingSince = time.Now()
+		if !c.awaitsRoom {
+			c.awaitsRoom = true
+			go c.writeWhenRoom()
+		}
+	}
+}
+
+// writeWhenRoom passes on the replies that wait for room on the link, until none does. It closes a client that takes
+// nothing.
+func (c *clientConn) writeWhenRoom() {
+	var progress wire.ReadProgress
+	for backoff := minRoomBackoff; c.stillAwaitsRoom(); backoff = min(2*backoff, maxRoomBackoff) {
+		time.Sleep(backoff)
+		before := c.PutOffset()
+		c.writeWaiting()
+		if c.PutOffset() > before {
+			backoff = minRoomBackoff
+		}
+		if c.PeerStalled(&progress, time.Now()) {
+			c.Close(wire.ErrSlowReader)
+		}
+	}
+}
+
+// stillAwaitsRoom reports whether replies wait for room on the link. If none does, writeWhenRoom is started anew when
+// one does.
+func (c *clientConn) stillAwaitsRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaitsRoom = !c.waitingSince.IsZero()
+	return c.awaitsRoom
+}
+
+// writeWaiting passes on replies that wait for room on the link, as far as it has room.
+func (c *clientConn) writeWaiting() {
+	c.mu.Lock()
+	_, finished := c.writeReady()
+	c.mu.Unlock()
+	c.Flush()
+	if finished {
+		c.endStream()
+	}
+}
+
+// leadingReady returns the number of replies that wait for nothing but room on the link. The caller holds c.mu.
+func (c *clientConn) leadingReady() (n int) {
+	for n < len(c.replies) && c.replies[n].ready {
+		n++
+	}
+	return n
+}
+
+// isBehind reports whether the client takes its replies more slowly than they come. The caller holds c.mu.
+func (c *clientConn) isBehind() bool {
+	return !c.waitingSince.IsZero() && time.Since(c.waitingSince) >= behindAfter
+}
+
+// replaceWaitingValues replaces the replies that wait for room on the link, or for earlier ones, by short errors, if the
+// client is behind: it can't take the values before its connection closes. Their requests may have run.
+func (c *clientConn) replaceWaitingValues() {
+	c.mu.Lock()
+	if c.isBehind() {
+		for i := range c.replies {
+			c.replaceValue(&c.replies[i])
+		}
+	}
+	c.mu.Unlock()
+	c.writeWaiting()
+}
+
+// replaceValue replaces a large reply that is ready by an error. The caller holds c.mu.
+func (c *clientConn) replaceValue(r *reply) {
+	if !r.ready || len(r.text) <= smallReplyBytes {
+		return
+	}
+	before := r.size()
+	r.text = appendOutcome(nil, &wire.Answer{Outcome: uint32(pb.Outcome_WRITTEN_OFF)})
+	if r.counted {
+		c.AddBuffered(r.size() - before)
+	}
+}
+
 // hasReplyBudget reports whether the memory for replies suffices for one more request. Replies that wait to be written
 // count with their size, those of open requests and of the new one with the mean size.
 func (p *Platform) hasReplyBudget() bool {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -41,7 +41,9 @@
 	partialSince   time.Time // start of the partial command, or of a connection without a complete one; else zero
 	hasSentCommand bool      // a complete command has arrived
 	overLimit      bool      // accepted beyond the client limit: closed once it has no open commands
-	payloadBuffer  []byte    // reused by handleCommand
+	payloadBuffer  []byte    // reused by handleTransaction
+	waitingSince   time.Time // since when replies have been waiting for room on the link, zero if none does
+	awaitsRoom     bool      // a goroutine passes them on as there is room
 	// progress of an idle client that has unread replies; used only on the poller
 	readProgress wire.ReadProgress
 }
@@ -114,7 +116,7 @@
 
 // shouldClose reports whether the client is to be closed once it has all its replies. The caller holds c.mu.
 func (c *clientConn) shouldClose() bool {
-	return c.lifecycle.ignoresInput || c.overLimit || c.platform.closingAll()
+	return c.lifecycle.ignoresInput || c.overLimit || c.platform.closingAll() || c.platform.isDraining() && c.isBehind()
 }
 
 // listClients returns the connected clients.
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -11,6 +11,10 @@
 // command. All commands that were read get their replies, and then the connection is closed. Closing a connection only
 // while it has no open commands would not do: a client that keeps requests open would never be closed, and SIGKILL
 // would find its requests unanswered. logic/drain.go sets the times of the steps.
+//
+// A client that takes its replies more slowly than they come is read no further from SIGTERM on. Values wait for it here
+// and not in the kernel (mayPassOn), and those that are not passed on by LastValuesBy are replaced by short errors, so
+// that each command that was read gets its reply before the connection closes.
 
 const (
 	stopReadingDelay = time.Duration(logic.StopReadingAfter) * time.Microsecond
@@ -57,9 +61,17 @@
 	return start != nil && time.Since(*start) >= duration
 }
 
+// isDraining reports whether the drain has begun.
+func (p *Platform) isDraining() bool { return p.drainStart.Load() != nil }
+
 // closingAll reports whether the drain has reached the step at which all client connections are to be closed.
 func (p *Platform) closingAll() bool { return p.drainingFor(stopReadingDelay) }
 
+// sendingLastValues reports whether the drain has reached the step from which a client that is behind gets no values.
+func (p *Platform) sendingLastValues() bool {
+	return p.isDraining() && p.drainingFor(time.Duration(p.drainSchedule().LastValuesBy)*time.Microsecond)
+}
+
 // sweepClients closes the clients that are idle or to be closed. While draining, it stops the sentry once no client is
 // left or the time is over.
 func (p *Platform) sweepClients() {
@@ -67,8 +79,12 @@
 	schedule := p.drainSchedule()
 	answersDue := p.drainingFor(time.Duration(schedule.AnswerBy) * time.Microsecond)
 	closesDue := p.drainingFor(time.Duration(schedule.CloseBy) * time.Microsecond)
+	lastValues := p.sendingLastValues()
 	clients := p.listClients()
 	for _, c := range clients {
+		if lastValues {
+			c.replaceWaitingValues()
+		}
 		switch {
 		case closesDue:
 			c.Close(wire.ErrClosed)
@@ -109,7 +125,7 @@
 	if !reading {
 		return
 	}
-	if quiet && (c.CloseIfIdle(wire.ErrClosed, false) || !ignoresInput) {
+	if quiet && (c.CloseIfIdle(wire.ErrClosed, false) || !ignoresInput && c.WillRead()) {
 		return
 	}
 	if !c.StopReadingAtMessageEnd(c.reader.MissingBytes) { // the system lacks a resource: the next sweep retries
--- a/internal/platform/env_test.go
+++ b/internal/platform/env_test.go
@@ -256,11 +256,15 @@
 	t  *testing.T
 }
 
+func newTestClient(t *testing.T, conn net.Conn) testClient {
+	return testClient{conn, bufio.NewReader(conn), t}
+}
+
 // dial connects a client to the sentry.
 func (e *testEnv) dial(t *testing.T) testClient {
 	conn := must(net.Dial("tcp", e.sentry.Address()))
 	t.Cleanup(func() { conn.Close() })
-	return testClient{conn, bufio.NewReader(conn), t}
+	return newTestClient(t, conn)
 }
 
 func (c testClient) send(text string) { io.WriteString(c, text) }
--- a/internal/wire/detach.go
+++ b/internal/wire/detach.go
@@ -298,13 +298,16 @@
 
 // unacknowledgedBytes returns how many written bytes the peer's kernel has not acknowledged, 0 if that is unknown or the
 // descriptor is closed.
-func (l *Link) unacknowledgedBytes() int {
+func (l *Link) unacknowledgedBytes() int { return l.socketQueue(unix.SIOCOUTQ) }
+
+// socketQueue returns the length of one of the socket's queues in bytes, 0 if that is unknown or the descriptor is closed.
+func (l *Link) socketQueue(request uint) int {
 	l.fdMu.Lock()
 	defer l.fdMu.Unlock()
 	if l.fdClosed {
 		return 0
 	}
-	n, err := unix.IoctlGetInt(l.fd, unix.SIOCOUTQ)
+	n, err := unix.IoctlGetInt(l.fd, request)
 	if err != nil {
 		return 0
 	}
--- a/internal/wire/flow.go
+++ b/internal/wire/flow.go
@@ -3,12 +3,21 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // The data that waits to be written to a client is bounded by pausing the reads from it, never by closing its connection: how
 // much has been put before the writing goroutine ran says nothing about the client. Only the client's socket shows that it is not
 // reading.
 
+// What the kernel has accepted can't be taken back, and what the peer has not acknowledged when the connection closes may be lost.
+// So the owner of a link may hold back what it has for the peer until HasWindowFor reports that it would not have to wait in the
+// kernel, and decide until then what is sent.
+
+// windowReserveBytes is how much of its window a peer must have left after what HasWindowFor is asked for.
+const windowReserveBytes = 2 << 10
+
 // defaultSlowReaderTimeout is how long a peer may receive nothing while data waits for it, unless the link's limits set it.
 const defaultSlowReaderTimeout = 10 * time.Second
 
@@ -70,6 +79,42 @@
 	}
 }
 
+// HasWindowFor reports whether everything that was put is sent, and the peer has a window for so many bytes more, or at least half
+// of the largest window that it has had. The peer's kernel then takes them at once, even if the peer itself does not read.
+func (l *Link) HasWindowFor(bytes int) bool {
+	if l.pendingBytes() > 0 || l.socketQueue(unix.SIOCOUTQNSD) > 0 {
+		return false
+	}
+	window, largest := l.peerWindow()
+	if largest == 0 { // unknown
+		return true
+	}
+	return window-l.unacknowledgedBytes() >= min(bytes+windowReserveBytes, largest/2)
+}
+
+// pendingBytes returns how many bytes were put that the kernel has not accepted.
+func (l *Link) pendingBytes() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.putBytes - l.writtenBytes
+}
+
+// peerWindow returns the window that the peer offers, and the largest that it was seen to offer, in bytes. Both are 0 if that is
+// unknown.
+func (l *Link) peerWindow() (window, largest int) {
+	l.fdMu.Lock()
+	defer l.fdMu.Unlock()
+	if l.fdClosed {
+		return 0, 0
+	}
+	info, err := unix.GetsockoptTCPInfo(l.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, 0
+	}
+	l.largestWindow = max(l.largestWindow, int(info.Snd_wnd))
+	return int(info.Snd_wnd), l.largestWindow
+}
+
 // ReadProgress is how much the peer had acknowledged when it was last seen to make progress.
 type ReadProgress struct {
 	acknowledged int64
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -93,6 +93,8 @@
 	mode     readMode // how far a detached link is read
 	watchID  int32    // its ID at the watcher, 0 if it is not watched
 
+	largestWindow int // largest window that the peer was seen to offer, in bytes; guarded by fdMu
+
 	readMu            sync.Mutex // held during a read by the watcher
 	missingBytes      func(part []byte) int
 	readStopped       bool // reading never resumes; used only on the poller
@@ -395,6 +397,10 @@
 	return l.closed
 }
 
+// WillRead reports whether the socket holds unread data, or the end of the stream, that the poller is going to read. It is called
+// on the poller.
+func (l *Link) WillRead() bool { return !l.isDetached() && !l.isFDClosed() && !l.IsReadIdle() }
+
 // IsReadIdle reports whether the socket holds no unread data and no end of the stream from the peer.
 func (l *Link) IsReadIdle() bool {
 	l.fdMu.Lock()
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -49,6 +49,7 @@
 			s.acceptedCount.Add(1)
 			l := newLink(conn, limits, nil, nil)
 			l.isServer = true
+			l.peerWindow() // notes the window of a new connection, as the largest so far
 			handle, onClosed := accept(l)
 			l.handle = handle
 			l.onClosed = func(l *Link, reason error) {
--- a/logic/drain.go
+++ b/logic/drain.go
@@ -22,20 +22,26 @@
 	// From the last answer until its connection is closed, even if the client has not read the answer.
 	answerFlushTime = 80 * millisecond
 
+	// From the time at which a client that is behind is sent no further values until its connection is closed: it takes
+	// what is on its way in this time.
+	lastValuesTime = 400 * millisecond
+
 	// StopReadingAfter is the time from the request to stop until the process stops reading from its clients.
 	StopReadingAfter = killAfterDeadline - drainMargin - answerFlushTime
 )
 
 // DrainSchedule is when the last steps of a planned stop are due, measured from the request to stop.
 type DrainSchedule struct {
-	AnswerBy Micros // each transaction has its final answer
-	CloseBy  Micros // all client connections are closed
+	LastValuesBy Micros // values that wait for a client that is behind are replaced by errors
+	AnswerBy     Micros // each transaction has its final answer
+	CloseBy      Micros // all client connections are closed
 }
 
 // DrainScheduleFor returns the schedule for the longest deadline of any profile.
 func DrainScheduleFor(longestDeadline Micros) DrainSchedule {
 	answerBy := StopReadingAfter + min(longestDeadline, maxCountedDeadline)
-	return DrainSchedule{AnswerBy: answerBy, CloseBy: answerBy + answerFlushTime}
+	closeBy := answerBy + answerFlushTime
+	return DrainSchedule{LastValuesBy: closeBy - lastValuesTime, AnswerBy: answerBy, CloseBy: closeBy}
 }
 
 // FinalAction returns the action for a transaction that must be answered now and has no answer. If no hand-off was ever
