platform: after a stall, give the last answers before connections close

Cause: answers are due at D + 0.42 s and connections close at D + 0.5 s.

Change: connections close 80 ms after the process has first seen that answers are due, at D + 0.65 s at the latest (logic.DrainSchedule.CloseDue). The steps of the drain are told by one function in place of four comparisons.

--- a/internal/platform/clients_test.go
+++ b/internal/platform/clients_test.go
@@ -10,6 +10,7 @@
 
 	"scalechute/internal/input"
 	"scalechute/internal/wire"
+	"scalechute/logic"
 )
 
 // blockPoller blocks the poller until release is called. Data and connections that arrive meanwhile stay in the kernel.
@@ -20,6 +21,8 @@
 	return func() { close(gate) }
 }
 
+const stopReadingDelay = time.Duration(logic.StopReadingAfter) * time.Microsecond
+
 // drainPastStopReading starts a drain in the past, so that clients without open commands are to be closed now.
 func (e *testEnv) drainPastStopReading() {
 	start := time.Now().Add(-stopReadingDelay)
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -7,7 +7,7 @@
 	"scalechute/logic"
 )
 
-// Draining: from stopReadingDelay after SIGTERM, client connections are read no further, except for the rest of a partial
+// Draining: from logic.StopReadingAfter after SIGTERM, client connections are read no further, except for the rest of a partial
 // command. All commands that were read get their replies, and then the connection is closed. Closing a connection only
 // while it has no open commands would not do: a client that keeps requests open would never be closed, and SIGKILL
 // would find its requests unanswered. logic/drain.go sets the times of the steps.
@@ -17,9 +17,8 @@
 // that each command that was read gets its reply before the connection closes.
 
 const (
-	stopReadingDelay = time.Duration(logic.StopReadingAfter) * time.Microsecond
 	// New connections still arrive for 0.4 s after SIGTERM, and may be delayed.
-	listenDuration = 500 * time.Millisecond
+	listenDuration = logic.Micros(500 * time.Millisecond / time.Microsecond)
 	// Interval at which client connections are checked while draining.
 	drainSweepInterval = 20 * time.Millisecond
 	// After the end of the stream, a client that has acknowledged all data and does not close is closed after
@@ -55,50 +54,71 @@
 	return logic.DrainScheduleFor(longest)
 }
 
-// drainingFor reports whether the drain began at least this long ago.
-func (p *Platform) drainingFor(duration time.Duration) bool {
+// drainTime returns the time since the drain began, and false if it has not.
+func (p *Platform) drainTime() (elapsed logic.Micros, draining bool) {
 	start := p.drainStart.Load()
-	return start != nil && time.Since(*start) >= duration
+	if start == nil {
+		return 0, false
+	}
+	return logic.Micros(time.Since(*start) / time.Microsecond), true
 }
 
 // isDraining reports whether the drain has begun.
 func (p *Platform) isDraining() bool { return p.drainStart.Load() != nil }
 
 // closingAll reports whether the drain has reached the step at which all client connections are to be closed.
-func (p *Platform) closingAll() bool { return p.drainingFor(stopReadingDelay) }
+func (p *Platform) closingAll() bool {
+	elapsed, draining := p.drainTime()
+	return draining && elapsed >= logic.StopReadingAfter
+}
+
+// drainSteps are the steps that a drain has reached.
+type drainSteps struct {
+	listened   bool // long enough for all new connections
+	lastValues bool // a client that is behind gets no values
+	answersDue bool // each transaction has its final answer
+	closesDue  bool // all connections are closed
+}
 
-// sendingLastValues reports whether the drain has reached the step from which a client that is behind gets no values.
-func (p *Platform) sendingLastValues() bool {
-	return p.isDraining() && p.drainingFor(time.Duration(p.drainSchedule().LastValuesBy)*time.Microsecond)
+// drainStepsReached returns the steps that the drain has reached, none unless draining.
+func (p *Platform) drainStepsReached() drainSteps {
+	elapsed, draining := p.drainTime()
+	if !draining {
+		return drainSteps{}
+	}
+	schedule := p.drainSchedule()
+	steps := drainSteps{listened: elapsed >= listenDuration, lastValues: elapsed >= schedule.LastValuesBy, answersDue: elapsed >= schedule.AnswerBy}
+	if steps.answersDue {
+		p.answersDueSeenMicros.CompareAndSwap(0, int64(elapsed))
+		steps.closesDue = schedule.CloseDue(elapsed, logic.Micros(p.answersDueSeenMicros.Load()))
+	}
+	return steps
 }
 
 // sweepClients closes the clients that are idle or to be closed. While draining, it stops the sentry once no client is
 // left or the time is over.
 func (p *Platform) sweepClients() {
 	now := time.Now()
-	schedule := p.drainSchedule()
-	answersDue := p.drainingFor(time.Duration(schedule.AnswerBy) * time.Microsecond)
-	closesDue := p.drainingFor(time.Duration(schedule.CloseBy) * time.Microsecond)
-	lastValues := p.sendingLastValues()
+	steps := p.drainStepsReached()
 	clients := p.listClients()
 	for _, c := range clients {
-		if lastValues {
+		if steps.lastValues {
 			c.replaceWaitingValues()
 		}
 		switch {
-		case closesDue:
+		case steps.closesDue:
 			c.Close(wire.ErrClosed)
-		case c.partialCommandExpired(now, answersDue):
+		case c.partialCommandExpired(now, steps.answersDue):
 			c.abandonPartialCommand()
 		case c.mayNeedClose(now):
 			wire.RunOnPoller(c.closeIfDue)
 		}
 	}
 	switch {
-	case closesDue:
+	case steps.closesDue:
 		p.server.CloseListenerNow()
 		p.sentry.Stop()
-	case len(clients) == 0 && p.drainingFor(listenDuration):
+	case len(clients) == 0 && steps.listened:
 		p.server.CloseListenerIfIdle(func(closed bool) {
 			if closed {
 				p.sentry.Stop()
--- a/internal/platform/drain_test.go
+++ b/internal/platform/drain_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"scalechute/internal/input"
+	"scalechute/logic"
 )
 
 // A client keeps its pipeline full, so that its connection always has open commands. After the drain begins, the
@@ -96,3 +97,26 @@
 	}
 	env.waitFor("no client", env.noClients)
 }
+
+// The process is stalled from before the last answers are due until after the connections are to be closed. An open
+// request gets its final answer before its connection closes.
+//
+// It guards against a sweep that closes all connections as soon as the process goes on, before the event loop has given
+// the answers that became due meanwhile.
+func TestAnswersAfterStall(t *testing.T) {
+	env := newEnv(t, options{decide: handOffToFirstWorker(func(*input.Input) {}), workers: []string{startWorker(t, func(net.Conn, int, []string) {})}})
+	c := env.dial(t)
+	c.send(readCmd("open"))
+	env.waitFor("the hand-off", func() bool { return env.actions[logic.HandOff] == 1 })
+	start := time.Now().Add(-time.Duration(env.p.drainSchedule().CloseBy) * time.Microsecond)
+	env.p.drainStart.Store(&start)
+	env.p.sweepClients() // runs before the event loop
+	env.sentry.AnswerWithin(time.Millisecond)
+	c.expectReply("-")
+	c.expectReply("closed")
+	select {
+	case <-env.sentry.Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the sentry did not end")
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -29,7 +29,9 @@
 	drainStart atomic.Pointer[time.Time] // with its monotonic reading; nil unless draining
 	// longest deadline in the settings when the drain began, in microseconds; 0 unless draining
 	drainDeadlineMicros atomic.Int64
-	wallClock           *clock.WallClock
+	// time since the drain began at which a sweep first saw that answers are due, in microseconds; 0 before
+	answersDueSeenMicros atomic.Int64
+	wallClock            *clock.WallClock
 
 	mu             sync.Mutex // guards clients, openRequests and meanReplyBytes
 	faultTrigger   trigger
--- a/logic/drain.go
+++ b/logic/drain.go
@@ -16,8 +16,10 @@
 	killAfterDeadline  = 700 * millisecond
 	maxCountedDeadline = 3 * second
 
-	// The process may be stalled for 150 ms (STANDING page), and it needs some time to exit.
-	drainMargin = 200 * millisecond
+	// The process may be stalled for this long (STANDING page).
+	maxStall = 150 * millisecond
+	// Time for a stall and for the exit.
+	drainMargin = maxStall + 50*millisecond
 
 	// From the last answer until its connection is closed, even if the client has not read the answer.
 	answerFlushTime = 80 * millisecond
@@ -34,7 +36,7 @@
 type DrainSchedule struct {
 	LastValuesBy Micros // values that wait for a client that is behind are replaced by errors
 	AnswerBy     Micros // each transaction has its final answer
-	CloseBy      Micros // all client connections are closed
+	CloseBy      Micros // all client connections are closed, unless the process was stalled (CloseDue)
 }
 
 // DrainScheduleFor returns the schedule for the longest deadline of any profile.
@@ -44,6 +46,13 @@
 	return DrainSchedule{LastValuesBy: closeBy - lastValuesTime, AnswerBy: answerBy, CloseBy: closeBy}
 }
 
+// CloseDue reports whether client connections are to be closed now. answersDueSeen is when the process first saw that
+// answers were due, both counted from the request to stop. A process that was stalled over AnswerBy still has its last
+// answers to give, so it closes connections answerFlushTime after it has seen that, within the time for the stall.
+func (s DrainSchedule) CloseDue(now, answersDueSeen Micros) bool {
+	return now >= s.CloseBy && now >= answersDueSeen+answerFlushTime || now >= s.CloseBy+maxStall
+}
+
 // FinalAction returns the action for a transaction that must be answered now and has no answer. If no hand-off was ever
 // sent, the transaction is deferred, because a retry is harmless. Otherwise it is written off.
 func FinalAction(handOffs int) ActionKind {
--- a/logic/drain_test.go
+++ b/logic/drain_test.go
@@ -21,3 +21,20 @@
 		t.Error("found another action, expected to defer a transaction without a hand-off and to write off any other")
 	}
 }
+
+// A process that was not stalled over AnswerBy closes connections at CloseBy. One that was gives its last answers first,
+// and closes connections before the earliest kill all the same.
+func TestCloseDueAfterStall(t *testing.T) {
+	const stall = 150 * millisecond
+	s := DrainScheduleFor(900 * millisecond)
+	if s.CloseDue(s.CloseBy-1, s.AnswerBy) || !s.CloseDue(s.CloseBy, s.AnswerBy) {
+		t.Error("without a stall, connections are not closed just at CloseBy")
+	}
+	resumed := s.AnswerBy - 1 + stall
+	if s.CloseDue(resumed, resumed) || s.CloseDue(resumed+answerFlushTime-1, resumed) {
+		t.Error("connections are closed before the answers that were due during the stall are flushed")
+	}
+	if last := s.CloseBy + stall; !s.CloseDue(last, last) || last >= 1600*millisecond {
+		t.Error("connections may be open at the earliest kill")
+	}
+}
