tests, soak: hold ports on which nobody is to listen

Cause: a port was freed before its number was given away as one on which nobody listens, or to a process yet to start, so that another test or process got it. The command had gone once: the first connection that the test counted was a sentry's dial of a control plane that was not there. The program was right.

Change: standin.HoldAddress holds a port by a socket that does not listen.

--- a/cmd/scalechute/platform_test.go
+++ b/cmd/scalechute/platform_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"scalechute/standin"
 )
 
 const platformSettings = `{"azs":["here"],"zone":"here","replicas_of_me":1,"position":0,"registry_mode":"on_request","granularity_ns":5000000,
@@ -59,12 +61,12 @@
 }
 
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	held, err := standin.HoldAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(held.Release)
+	return held.Address
 }
 
 // waitForPong reports whether the sentry answers a PING within 200 attempts, 50 ms apart.
--- a/internal/platform/edge_cases_test.go
+++ b/internal/platform/edge_cases_test.go
@@ -245,7 +245,7 @@
 	if took := time.Since(started); took < 250*time.Millisecond {
 		t.Errorf("given up after %v, expected the second sentry's deadline", took)
 	}
-	if err := second.p.Reload(must(parseConfig(configJSON(256, closedAddress(), closedAddress(), []string{address}, append(replacements, `"free":2`, `"free":7`)...)))); err != nil {
+	if err := second.p.Reload(must(parseConfig(configJSON(256, closedAddress(t), closedAddress(t), []string{address}, append(replacements, `"free":2`, `"free":7`)...)))); err != nil {
 		t.Fatal(err)
 	}
 	if a, b := first.p.config.Load().Settings.Policy.FreeExposure, second.p.config.Load().Settings.Policy.FreeExposure; a != 2 || b != 7 {
--- a/internal/platform/env_test.go
+++ b/internal/platform/env_test.go
@@ -19,6 +19,7 @@
 	"scalechute/internal/input"
 	"scalechute/internal/sentry"
 	"scalechute/logic"
+	"scalechute/standin"
 )
 
 // settings are the decision settings of the test configuration.
@@ -87,11 +88,12 @@
 	return listener.Addr().String()
 }
 
-// closedAddress returns an address where nothing listens.
-func closedAddress() string {
-	listener := must(net.Listen("tcp", "127.0.0.1:0"))
-	defer listener.Close()
-	return listener.Addr().String()
+// closedAddress returns an address on which nobody listens until the test ends.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	held := must(standin.HoldAddress())
+	t.Cleanup(held.Release)
+	return held.Address
 }
 
 // configJSON returns a configuration whose worker list has the given workers. replacements are pairs of an old and a
@@ -130,7 +132,7 @@
 	if o.discovery == "" && o.decide == nil && len(o.workers) > 0 {
 		o.discovery = startDiscovery(t, nil, activeTargets(o.workers)...)
 	}
-	config := must(parseConfig(configJSON(cmp.Or(o.sockets, 256), cmp.Or(o.discovery, closedAddress()), cmp.Or(o.controlPlane, closedAddress()), o.workers, o.replacements...)))
+	config := must(parseConfig(configJSON(cmp.Or(o.sockets, 256), cmp.Or(o.discovery, closedAddress(t)), cmp.Or(o.controlPlane, closedAddress(t)), o.workers, o.replacements...)))
 	env := &testEnv{t: t, actions: map[logic.ActionKind]int{}}
 	env.p = must(New(config, zerolog.Nop()))
 	env.sentry = must(sentry.Start(config.Settings, sentry.Options{Log: zerolog.Nop(), Transport: env.p, CachedList: config.InitialList, Record: env.record, Decide: o.decide}))
--- a/internal/platform/list_staleness_test.go
+++ b/internal/platform/list_staleness_test.go
@@ -64,7 +64,7 @@
 func TestAddressChangeMarksListStale(t *testing.T) {
 	env := newEnv(t, options{discovery: startDiscovery(t, nil, target{"x", "127.0.0.1:9", "here", "active", 1, 7})})
 	env.waitFor("the list", env.workerHasBuild("x", 7))
-	if err := env.p.Reload(must(parseConfig(configJSON(256, closedAddress(), closedAddress(), nil)))); err != nil {
+	if err := env.p.Reload(must(parseConfig(configJSON(256, closedAddress(t), closedAddress(t), nil)))); err != nil {
 		t.Fatal(err)
 	}
 	env.waitFor("the report", func() bool { return len(env.staleReports) == 1 })
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -87,7 +87,7 @@
 		"bad report":  {answersWith("*3\r\n" + bulk("v") + "$-1\r\n" + bulk("busy_reqs=?,=,x")), logic.Answered, "v"},
 		"error":       {answersWith("-ERR failed busy_reqs=2\r\n"), logic.Errored, "-ERR"},
 		"turned away": {answersWith("-BUSY\r\n"), logic.TurnedAway, "-BUSY"},
-		"refused":     {closedAddress(), logic.Unconnected, "-BUSY"},
+		"refused":     {closedAddress(t), logic.Unconnected, "-BUSY"},
 		"unreachable": {unreachableAddress(t), logic.Unconnected, "-BUSY"},
 		"broken":      {startWorker(t, func(c net.Conn, _ int, _ []string) { c.Close() }), logic.Broken, "-ERR"},
 		"silent":      {startWorker(t, func(net.Conn, int, []string) {}), logic.TimedOut, "-ERR"},
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -121,7 +121,7 @@
 	env.p.discovery.deliver(singleCall, report(49, 5)) // requested before the watch brought version 50
 	env.p.discovery.deliver(singleCall, report(51, 6))
 	env.waitFor("a newer list of a single call", env.workerHasBuild("x", 6))
-	if err := env.p.Reload(must(parseConfig(configJSON(256, discoveryWithBuild(8), closedAddress(), nil)))); err != nil {
+	if err := env.p.Reload(must(parseConfig(configJSON(256, discoveryWithBuild(8), closedAddress(t), nil)))); err != nil {
 		t.Fatal(err)
 	}
 	env.waitFor("the list of the other address", env.workerHasBuild("x", 8))
@@ -257,7 +257,7 @@
 	env := newEnv(t, options{discovery: address, replacements: pushed, decide: noActions})
 	env.waitFor("the second watch", env.workerHasBuild("x", 9))
 	onRequest := newEnv(t, options{discovery: address, decide: noActions})
-	if err := onRequest.p.Reload(must(parseConfig(configJSON(256, address, closedAddress(), nil, pushed...)))); err != nil {
+	if err := onRequest.p.Reload(must(parseConfig(configJSON(256, address, closedAddress(t), nil, pushed...)))); err != nil {
 		t.Fatal(err)
 	}
 	onRequest.waitFor("a watch by the new settings", onRequest.workerHasBuild("x", 10))
@@ -302,7 +302,7 @@
 			})
 			env.p.Drain()
 			for range 2 { // two reloads at once
-				go env.p.Reload(must(parseConfig(configJSON(256, newAddress, closedAddress(), nil))))
+				go env.p.Reload(must(parseConfig(configJSON(256, newAddress, closedAddress(t), nil))))
 			}
 			if query := <-queries; query != "watch=1&from=0" {
 				t.Errorf("call %q, expected a watch for the whole list", query)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -110,15 +110,5 @@
 	<-x.ended
 }
 
-// freeAddress returns a loopback address on which nobody listens.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // configPath returns the path of a run's configuration file.
 func configPath(dir string) string { return filepath.Join(dir, "config.json") }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"scalechute/standin"
 )
 
 // run is a plan that is being executed.
@@ -52,9 +54,12 @@
 		return nil, err
 	}
 	defer discovery.Close()
-	if x.address, err = freeAddress(); err != nil {
+	held, err := standin.HoldAddress()
+	if err != nil {
 		return nil, err
 	}
+	defer held.Release()
+	x.address = held.Address
 	dir, err := os.MkdirTemp("", "soak-")
 	if err != nil {
 		return nil, err
