soak: requests that must run once, ends of servers and discovery, --at-once

The soak asked for one class that may be repeated, and its servers and discovery never ended. `--mixed` adds to the plan of a seed requests that must not be repeated, more commands in pieces across the stop, and a server and discovery that end while the process stops; the plans of seeds without it stay as they were. `--at-once N` plays runs beside each other. TestMixedSoak plays six seeds.

--- a/cmd/scalechute/soak.go
+++ b/cmd/scalechute/soak.go
@@ -16,10 +16,21 @@
 // soakCommand returns the command that runs soak tests.
 func soakCommand() *cobra.Command {
 	var seed uint64
-	var runs, pipelineDepth, clients, answerBytes int
+	var runs, atOnce, pipelineDepth, clients, answerBytes int
 	var pause time.Duration
 	var faultName string
-	var showLog bool
+	var mixed, showLog bool
+	choosePlan := func(seed uint64) *soak.Plan {
+		switch {
+		case faultName != "":
+			return soak.FaultPlan(seed, faultName)
+		case pipelineDepth > 0:
+			return soak.PipelinePlan(seed, clients, pipelineDepth, pause, answerBytes)
+		case mixed:
+			return soak.MixedPlan(seed)
+		}
+		return soak.RandomPlan(seed)
+	}
 	c := &cobra.Command{
 		Use:   "soak --seed N --runs N",
 		Short: "Run the real process under SIGHUP, SIGTERM and SIGKILL and print one line per run; exit 0 only if every guarantee holds",
@@ -36,16 +47,12 @@
 			if showLog {
 				options.Log = c.ErrOrStderr()
 			}
+			plans := make([]*soak.Plan, max(runs, 0))
+			for i := range plans {
+				plans[i] = choosePlan(seed + uint64(i))
+			}
 			failedRuns := 0
-			for run := range uint64(max(runs, 0)) {
-				plan := soak.RandomPlan(seed + run)
-				if pipelineDepth > 0 {
-					plan = soak.PipelinePlan(seed+run, clients, pipelineDepth, pause, answerBytes)
-				}
-				if faultName != "" {
-					plan = soak.FaultPlan(seed+run, faultName)
-				}
-				result, err := soak.Run(plan, options)
+			for result, err := range soak.RunAll(plans, options, atOnce) {
 				if err != nil {
 					return err
 				}
@@ -65,6 +72,8 @@
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the first run; each further run has the next")
 	c.Flags().IntVar(&runs, "runs", 1, "number of runs")
+	c.Flags().IntVar(&atOnce, "at-once", 1, "number of runs that are played beside each other")
+	c.Flags().BoolVar(&mixed, "mixed", false, "random plans with requests that may not be repeated, more commands in pieces, and servers and discovery that end as the process stops")
 	c.Flags().IntVar(&pipelineDepth, "open", 0, "open requests per connection, with fixed plans in place of random ones; 0: random plans")
 	c.Flags().IntVar(&clients, "clients", 20, "number of clients, with --open")
 	c.Flags().IntVar(&answerBytes, "answer", 64, "size of an answer in bytes, with --open")
--- a/cmd/scalechute/soak_test.go
+++ b/cmd/scalechute/soak_test.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// TestMixedSoak runs random plans with requests that must run at most once, commands in pieces across the stop, and
+// servers and discovery that end while the process stops.
+func TestMixedSoak(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) { runSoak(t, soak.MixedPlan(seed)) })
+	}
+}
+
 // TestSoakReportsEachInjectedFault checks that the audit reports each injected fault as the outcome that it causes.
 func TestSoakReportsEachInjectedFault(t *testing.T) {
 	for faultName, want := range map[string]soak.Outcome{"close": soak.Dropped, "skip": soak.Skipped, "swap": soak.Swapped} {
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -39,6 +39,8 @@
 	answerWithoutRequest Violation = "an answer without a request"
 	unexpectedExit       Violation = "the process ended without SIGTERM"
 	exitTooLate          Violation = "the process had not ended when the kill was due"
+	ranTwice             Violation = "a request that must not be repeated reached servers twice"
+	refusedThoughSent    Violation = "a request that must not be repeated was refused although a server had it"
 )
 
 // Result is the result of a run.
@@ -97,6 +99,9 @@
 			r.outcome = Swapped
 		}
 		x.result.Requests[r.outcome]++
+		if c.plan.NotRepeatable {
+			x.auditNotRepeatable(r)
+		}
 		lost = lost || r.outcome == Dropped || r.outcome == Killed
 		if r.outcome >= Late && len(x.result.Examples) < maxExamples {
 			x.result.Examples = append(x.result.Examples, fmt.Sprintf("%s (open %d): %v; sent %.3f s, connection ended %.3f s, after SIGTERM; reset %v, %d attempts",
@@ -109,6 +114,18 @@
 	}
 }
 
+// auditNotRepeatable checks that a request which must not be repeated reached a server at most once, and not at all if it
+// was refused: a refusal promises that a retry is harmless. x.mu is held.
+func (x *run) auditNotRepeatable(r *request) {
+	attempts := x.attempts.of(r.id)
+	if attempts > 1 {
+		x.result.Violations[ranTwice]++
+	}
+	if attempts > 0 && r.outcome == Refused {
+		x.result.Violations[refusedThoughSent]++
+	}
+}
+
 // classifyUnanswered returns the outcome of a request without an answer. A request that reached a server was read. One
 // whose bytes the kernel of the process has acknowledged was read too, unless the connection was reset, as it is when
 // it is closed with unread data.
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -115,7 +115,11 @@
 func (x *connection) writeRequest() bool {
 	x.requestCount++
 	id := fmt.Sprintf("%s.%d", x.name, x.requestCount)
-	text := encodeCommand("Q.ASK", encodeKey(id, x.plan.AnswerBytes), id, fmt.Sprintf("c=read,d=%d", x.run.plan.Deadline.Milliseconds()),
+	command, class := "Q.ASK", repeatableClass
+	if x.plan.NotRepeatable {
+		command, class = "Q.DO", notRepeatableClass
+	}
+	text := encodeCommand(command, encodeKey(id, x.plan.AnswerBytes), id, fmt.Sprintf("c=%s,d=%d", class, x.run.plan.Deadline.Milliseconds()),
 		x.filler[:x.plan.BodyBytes])
 	for chunk := x.plan.ChunkBytes; chunk > 0 && len(text) > chunk; text = text[chunk:] {
 		if !x.writeText(text[:chunk]) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -57,6 +57,7 @@
 	BodyBytes       int           // size of a request's body
 	AnswerBytes     int           // size of an answer
 	MaxReadDelay    time.Duration // before each read
+	NotRepeatable   bool          // its requests must run at most once
 }
 
 // ProcessPlan is the plan of one run of the process, from its start to its end. Times count from when it is ready.
@@ -65,6 +66,8 @@
 	TerminateAfter     time.Duration   // SIGTERM
 	RepeatedTerminates []time.Duration // further SIGTERM, counted from the first
 	ReloadsInShutdown  []time.Duration // further SIGHUP, counted from SIGTERM
+	ServerEndsAfter    time.Duration   // when the first server ends, counted from SIGTERM; 0 if never
+	DiscoveryEndsAfter time.Duration   // when discovery ends, counted from SIGTERM; 0 if never
 	PauseAfter         time.Duration   // when the process is paused for pauseDuration, counted from SIGTERM; 0 if never
 }
 
@@ -119,6 +122,32 @@
 	}
 }
 
+// mixedStream is the random stream of what MixedPlan adds to a plan.
+const mixedStream = 1 << 34
+
+// MixedPlan returns the plan of RandomPlan with further troubles: half of the clients send requests that must not be
+// repeated, half of them send commands in pieces, and servers and discovery end while the process stops for the last
+// time.
+func MixedPlan(seed uint64) *Plan {
+	p := RandomPlan(seed)
+	r := rand.New(rand.NewPCG(seed, mixedStream))
+	for i := range p.Clients {
+		c := &p.Clients[i]
+		c.NotRepeatable = r.IntN(2) == 0
+		if r.IntN(2) == 0 {
+			c.ChunkBytes = 1 + r.IntN(40) + c.BodyBytes/40
+		}
+	}
+	last := &p.Processes[len(p.Processes)-1]
+	if r.IntN(2) == 0 {
+		last.ServerEndsAfter = time.Duration(1 + r.Int64N(int64(p.killAfter())))
+	}
+	if r.IntN(2) == 0 {
+		last.DiscoveryEndsAfter = time.Duration(1 + r.Int64N(int64(p.killAfter())))
+	}
+	return p
+}
+
 func randomServer(r *rand.Rand) ServerPlan {
 	return ServerPlan{FastDelay: time.Millisecond, SlowDelay: 250 * time.Millisecond, SlowPerMille: r.Uint64N(100),
 		HangDelay: 2 * time.Second, HangPerMille: r.Uint64N(30)}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -14,9 +14,16 @@
 	"time"
 )
 
-// settingsFormat is the platform's settings with one request class, whose aim and deadline are to be filled in.
+// The request classes of the settings.
+const (
+	repeatableClass    = "read"
+	notRepeatableClass = "move"
+)
+
+// settingsFormat is the platform's settings with two request classes, whose aim and deadline are to be filled in.
 const settingsFormat = `{"azs":["here"],"zone":"here","replicas_of_me":1,"position":0,"registry_mode":"on_request","granularity_ns":5000000,
- "categories":[{"name":"read","aim_ns":%d,"deadline_ns":%d,"effect":"retryable","value":1}],
+ "categories":[{"name":"read","aim_ns":%[1]d,"deadline_ns":%[2]d,"effect":"retryable","value":1},
+ {"name":"move","aim_ns":%[1]d,"deadline_ns":%[2]d,"effect":"fragile","value":1}],
  "limits":{"max_attempts":3,"connect_timeout_ns":250000000,"idle_close_ns":30000000000,"streams_per_conn":32,"retry_after":true,
  "max_retry_after_ns":1000000000},
  "rules":{"ask_within_ns":8000000000,"drain_grace_ns":2000000000,"warm_up_ns":1000000000,"fall_multiple":4,"fall_ns":2000000000}}`
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"iter"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -20,6 +22,9 @@
 	attempts *attemptCounts
 	done     chan struct{} // closed once clients must stop writing
 
+	servers   []*server
+	discovery *http.Server
+
 	mu                 sync.Mutex
 	changed            *sync.Cond
 	connectionsAllowed bool // clients may open new connections
@@ -35,6 +40,43 @@
 	Log     io.Writer // receives the process's log; may be nil
 }
 
+// RunAll executes plans, so many at once, and yields their results in the order of the plans. It stops at an error.
+func RunAll(plans []*Plan, o Options, atOnce int) iter.Seq2[*Result, error] {
+	return func(yield func(*Result, error) bool) {
+		type outcome struct {
+			result *Result
+			err    error
+		}
+		outcomes := make([]chan outcome, len(plans))
+		slots := make(chan struct{}, max(1, atOnce))
+		stopped := make(chan struct{})
+		defer close(stopped)
+		for i := range plans {
+			outcomes[i] = make(chan outcome, 1)
+		}
+		go func() {
+			for i, plan := range plans {
+				select {
+				case <-stopped:
+					return
+				case slots <- struct{}{}:
+				}
+				go func() {
+					result, err := Run(plan, o)
+					<-slots
+					outcomes[i] <- outcome{result, err}
+				}()
+			}
+		}()
+		for i := range plans {
+			done := <-outcomes[i]
+			if !yield(done.result, done.err) || done.err != nil {
+				return
+			}
+		}
+	}
+}
+
 // Run executes a plan and returns its result.
 func Run(p *Plan, o Options) (*Result, error) {
 	x := &run{plan: p, attempts: &attemptCounts{counts: map[string]int{}}, done: make(chan struct{}), result: &Result{Plan: p, Violations: map[Violation]int{}}}
@@ -45,7 +87,7 @@
 		if err != nil {
 			return nil, err
 		}
-		defer s.listener.Close()
+		defer s.close()
 		servers = append(servers, s)
 	}
 	known := encodeWorkerList(servers)
@@ -54,6 +96,7 @@
 		return nil, err
 	}
 	defer discovery.Close()
+	x.servers, x.discovery = servers, discovery
 	held, err := standin.HoldAddress()
 	if err != nil {
 		return nil, err
@@ -117,6 +160,7 @@
 	p.signal(syscall.SIGTERM)
 	x.scheduleSignals(p, plan.ReloadsInShutdown, syscall.SIGHUP)
 	x.scheduleSignals(p, plan.RepeatedTerminates, syscall.SIGTERM)
+	x.scheduleEnds(plan)
 	if plan.PauseAfter > 0 {
 		x.scheduleSignals(p, []time.Duration{plan.PauseAfter}, syscall.SIGSTOP)
 		x.scheduleSignals(p, []time.Duration{plan.PauseAfter + pauseDuration}, syscall.SIGCONT)
@@ -154,6 +198,16 @@
 	}
 }
 
+// scheduleEnds ends the first server and discovery when the plan has it, counted from SIGTERM.
+func (x *run) scheduleEnds(plan ProcessPlan) {
+	if plan.ServerEndsAfter > 0 {
+		time.AfterFunc(plan.ServerEndsAfter, x.servers[0].close)
+	}
+	if plan.DiscoveryEndsAfter > 0 {
+		time.AfterFunc(plan.DiscoveryEndsAfter, func() { x.discovery.Close() })
+	}
+}
+
 // allowConnections sets whether clients may open new connections.
 func (x *run) allowConnections(allowed bool) {
 	x.mu.Lock()
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -73,6 +73,10 @@
 	attempts *attemptCounts
 	listener net.Listener
 	filler   string
+
+	mu     sync.Mutex
+	conns  []net.Conn
+	closed bool
 }
 
 func startServer(plan ServerPlan, attempts *attemptCounts) (*server, error) {
@@ -87,12 +91,37 @@
 			if err != nil {
 				return
 			}
-			go s.serve(c)
+			if s.track(c) {
+				go s.serve(c)
+			}
 		}
 	}()
 	return s, nil
 }
 
+// track notes a connection, or closes it if the server has ended.
+func (s *server) track(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		c.Close()
+		return false
+	}
+	s.conns = append(s.conns, c)
+	return true
+}
+
+// close ends the server and its connections.
+func (s *server) close() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, c := range s.conns {
+		c.Close()
+	}
+}
+
 func (s *server) address() string { return s.listener.Addr().String() }
 
 // delayedAnswer is an answer that is sent when it is due.
