wire: TestResetWhileWriting waits for its writers once none can begin

Cause: the test adds to its WaitGroup on the poller while it waits, so a handler of the last connection could begin a writer during the wait. It waits first until no link is open and none is accepted, for which it has 10 s: links that do not close after a reset fail it, as before, and by a message of their own.

--- a/internal/wire/reset_test.go
+++ b/internal/wire/reset_test.go
@@ -36,6 +36,16 @@
 		c.(*net.TCPConn).SetLinger(0) // a reset
 		c.Close()
 	}
+	// Each link closes by itself, and no handler runs any more: a writer may only be added before the wait for all of them.
+	accepted, end := int64(0), time.Now().Add(10*time.Second)
+	for len(server.allLinks()) > 0 || server.acceptedCount.Load() != accepted {
+		if time.Now().After(end) {
+			t.Fatalf("%d links are open after their connections were reset", len(server.allLinks()))
+		}
+		accepted = server.acceptedCount.Load()
+		runOnPollerAndWait(func() {})
+	}
+	runOnPollerAndWait(func() {})
 	writers.Wait()
 }
 
