wire: close a link whose stream has ended although its peer stops reading

Seen by reading: a client that sends QUIT, or comes beyond the bound on connections, and then reads nothing kept its connection and a descriptor of the process for good.

Cause: FlushAndClose waited for the peer's acknowledgement without a limit; the 10 s for slow readers held elsewhere only. It holds here too now.

--- a/internal/wire/detach.go
+++ b/internal/wire/detach.go
@@ -275,7 +275,7 @@
 // closes the link once the peer closes its end. It is called after reading has stopped. Closing a socket with unread data resets
 // the connection, and loses answers that have not arrived. If the peer keeps its end open, the link is therefore closed only
 // after linger, once the peer has acknowledged everything and there is no unread data. Unread data delays the close for at most
-// maxLinger.
+// maxLinger, and a peer that acknowledges nothing for at most the link's SlowReaderTimeout.
 func (l *Link) FlushAndClose(reason error, linger, maxLinger time.Duration) {
 	l.WhenWritten(func() {
 		l.fdMu.Lock()
@@ -284,8 +284,13 @@
 		}
 		l.fdMu.Unlock()
 		start := time.Now()
+		var progress ReadProgress
 		var closeWhenReceived func()
 		closeWhenReceived = func() {
+			if l.PeerStalled(&progress, time.Now()) {
+				l.Close(ErrSlowReader)
+				return
+			}
 			if l.unacknowledgedBytes() > 0 || !l.IsReadIdle() && !l.isFDClosed() && time.Since(start) < maxLinger {
 				time.AfterFunc(linger, closeWhenReceived)
 				return
--- a/internal/wire/detach_test.go
+++ b/internal/wire/detach_test.go
@@ -13,9 +13,15 @@
 // serveOne starts a server with a DataHandler, and returns its first link and the client's end of the connection, whose receive
 // buffer is small.
 func serveOne(t *testing.T, read DataHandler) (*Link, *net.TCPConn) {
+	t.Helper()
+	return serveOneWithin(t, DefaultLimits, read)
+}
+
+// serveOneWithin is serveOne with limits.
+func serveOneWithin(t *testing.T, limits Limits, read DataHandler) (*Link, *net.TCPConn) {
 	t.Helper()
 	links := make(chan *Link, 1)
-	server, err := ServeRaw("127.0.0.1:0", DefaultLimits, func(l *Link) (DataHandler, func(*Link, error)) {
+	server, err := ServeRaw("127.0.0.1:0", limits, func(l *Link) (DataHandler, func(*Link, error)) {
 		links <- l
 		return read, nil
 	})
@@ -139,3 +145,21 @@
 		}
 	}
 }
+
+// A link whose stream has ended closes although the peer acknowledges nothing more of it.
+//
+// It guards against a connection, and its descriptor, that stays for as long as the peer's process lives: the close waited for
+// the acknowledgement without a limit.
+func TestCloseOfPeerThatStopsReading(t *testing.T) {
+	limits := DefaultLimits
+	limits.SlowReaderTimeout = 200 * time.Millisecond
+	l, _ := serveOneWithin(t, limits, func(*Link, []byte) ([]byte, error) { return nil, nil })
+	runOnPollerAndWait(func() { l.StopReadingAtMessageEnd(func([]byte) int { return 1 }) })
+	l.PutRaw(make([]byte, 32<<10)) // more than the client's kernel takes, less than this one's
+	l.FlushAndClose(ErrClosed, 10*time.Millisecond, time.Second)
+	for end := time.Now().Add(5 * time.Second); !l.IsClosed(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the link is open, with %d bytes not acknowledged", l.unacknowledgedBytes())
+		}
+	}
+}
