--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -14,7 +14,7 @@
 const (
 	// The time from connecting to the first complete command. It also bounds the rest of a partial command once the client
 	// is no longer read beyond that command.
-	firstCommandTimeout = 2700 * time.Millisecond
+	firstCommandTimeout = 2500 * time.Millisecond
 	// The time from the first byte of a later command to its last.
 	commandTimeout = 6 * time.Second
 	// A connection without open commands may be closed after this time.
