platform: close a client that takes nothing while values wait for its window

Seen by reading again: a client that had acknowledged everything and then read nothing stayed connected for good while values waited for it, since the limit for slow readers looks only at what was passed on; and a client whose window became smaller for good would have got no large value any more.

Change: while values wait, nothing taken for 10 s closes the connection; after 0.25 s without a value passed on, a window that is offered counts as the largest. What was put and not sent counts against the window, so replies of one step of the loop need not wait. Values that are replaced in a drain are logged.

--- a/internal/platform/client_replies.go
+++ b/internal/platform/client_replies.go
@@ -21,7 +21,10 @@
 	behindAfter = 40 * time.Millisecond
 	// Delays before it is checked again whether the link has room; the delay doubles up to the maximum.
 	minRoomBackoff = 500 * time.Microsecond
-	maxRoomBackoff = 10 * time.Millisecond
+	maxRoomBackoff = 20 * time.Millisecond
+	// A client whose window has been too small for this long, without a change in what it has taken, is taken to have a
+	// smaller one for good.
+	smallWindowAfter = 250 * time.Millisecond
 )
 
 // reply is the reply to one command, possibly still awaited.
@@ -168,15 +171,19 @@
 // nothing.
 func (c *clientConn) writeWhenRoom() {
 	var progress wire.ReadProgress
+	lastPassedOn := time.Now()
 	for backoff := minRoomBackoff; c.stillAwaitsRoom(); backoff = min(2*backoff, maxRoomBackoff) {
 		time.Sleep(backoff)
 		before := c.PutOffset()
 		c.writeWaiting()
-		if c.PutOffset() > before {
-			backoff = minRoomBackoff
-		}
-		if c.PeerStalled(&progress, time.Now()) {
+		now := time.Now()
+		switch {
+		case c.PutOffset() > before:
+			backoff, lastPassedOn = minRoomBackoff, now
+		case c.TakesNothing(&progress, now):
 			c.Close(wire.ErrSlowReader)
+		case now.Sub(lastPassedOn) >= smallWindowAfter && !c.platform.isDraining():
+			c.ForgetLargestWindow()
 		}
 	}
 }
@@ -217,26 +224,33 @@
 // replaceWaitingValues replaces the replies that wait for room on the link, or for earlier ones, by short errors, if the
 // client is behind: it can't take the values before its connection closes. Their requests may have run.
 func (c *clientConn) replaceWaitingValues() {
+	replaced := 0
 	c.mu.Lock()
 	if c.isBehind() {
 		for i := range c.replies {
-			c.replaceValue(&c.replies[i])
+			if c.replaceValue(&c.replies[i]) {
+				replaced++
+			}
 		}
 	}
 	c.mu.Unlock()
+	if replaced > 0 {
+		c.platform.log.Warn().Str("from", c.RemoteAddr()).Int("replies", replaced).Msg("client reads too slowly for the drain; values replaced by errors")
+	}
 	c.writeWaiting()
 }
 
-// replaceValue replaces a large reply that is ready by an error. The caller holds c.mu.
-func (c *clientConn) replaceValue(r *reply) {
+// replaceValue replaces a large reply that is ready by an error, and reports whether it did. The caller holds c.mu.
+func (c *clientConn) replaceValue(r *reply) bool {
 	if !r.ready || len(r.text) <= smallReplyBytes {
-		return
+		return false
 	}
 	before := r.size()
 	r.text = appendOutcome(nil, &wire.Answer{Outcome: uint32(pb.Outcome_WRITTEN_OFF)})
 	if r.counted {
 		c.AddBuffered(r.size() - before)
 	}
+	return true
 }
 
 // hasReplyBudget reports whether the memory for replies suffices for one more request. Replies that wait to be written
--- a/internal/platform/late_reader_test.go
+++ b/internal/platform/late_reader_test.go
@@ -84,3 +84,45 @@
 		t.Errorf("the sentry has not ended %v after the drain began", time.Since(drainStart))
 	}
 }
+
+// A client that stops reading while values wait for it is closed after the limit for slow readers, though its kernel has
+// acknowledged everything that was passed on.
+func TestClientThatStopsReadingIsClosed(t *testing.T) {
+	t.Parallel()
+	const slowReaderTimeout = 10 * time.Second
+	filler := strings.Repeat("x", 28<<10)
+	env := newEnv(t, options{decide: handOffToFirstWorker(func(*input.Input) {}), workers: []string{startWorker(t, func(c net.Conn, _ int, words []string) {
+		io.WriteString(c, newAnswer(words[2]+"-"+filler))
+	})}})
+	c := env.dialWithSmallBuffer(t)
+	started := time.Now()
+	for i := range 8 {
+		c.send(readCmd(fmt.Sprint("r", i)))
+	}
+	for !env.noClients() {
+		if time.Since(started) > slowReaderTimeout+5*time.Second {
+			t.Fatalf("the client is connected %v after it stopped reading", time.Since(started))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if took := time.Since(started); took < slowReaderTimeout {
+		t.Errorf("closed after %v, expected no less than %v", took, slowReaderTimeout)
+	}
+}
+
+// A client whose window is for good smaller than a value, and than half of its first window, gets its values all the
+// same, late at first.
+func TestClientWithShrunkenWindow(t *testing.T) {
+	filler := strings.Repeat("x", 28<<10)
+	env := newEnv(t, options{replacements: longDeadline, decide: handOffToFirstWorker(func(*input.Input) {}), workers: []string{startWorker(t, func(c net.Conn, _ int, words []string) {
+		io.WriteString(c, newAnswer(words[2]+"-"+filler))
+	})}})
+	c := env.dial(t)
+	must(0, c.Conn.(*net.TCPConn).SetReadBuffer(4<<10)) // after the first window was offered
+	for i := range 12 {
+		c.send(longReadCmd(fmt.Sprint("r", i)))
+		if got := c.readReply(); got != fmt.Sprint("r", i, "-", filler) {
+			t.Fatalf("reply %d: %.40q", i, got)
+		}
+	}
+}
--- a/internal/wire/flow.go
+++ b/internal/wire/flow.go
@@ -79,17 +79,30 @@
 	}
 }
 
-// HasWindowFor reports whether everything that was put is sent, and the peer has a window for so many bytes more, or at least half
-// of the largest window that it has had. The peer's kernel then takes them at once, even if the peer itself does not read.
+// HasWindowFor reports whether the peer has a window for so many bytes more than what was put, or at least half of the largest
+// window that it has had, and the kernel holds nothing that it could not send. The peer's kernel then takes them at once, even if
+// the peer itself does not read.
 func (l *Link) HasWindowFor(bytes int) bool {
-	if l.pendingBytes() > 0 || l.socketQueue(unix.SIOCOUTQNSD) > 0 {
+	pending := int(l.pendingBytes())
+	if l.socketQueue(unix.SIOCOUTQNSD) > 0 {
 		return false
 	}
 	window, largest := l.peerWindow()
 	if largest == 0 { // unknown
 		return true
 	}
-	return window-l.unacknowledgedBytes() >= min(bytes+windowReserveBytes, largest/2)
+	return window-l.unacknowledgedBytes()-pending >= min(bytes+windowReserveBytes, largest/2)
+}
+
+// ForgetLargestWindow makes HasWindowFor accept the window that the peer offers now as its largest, unless that is 0. It is for a
+// peer whose window has become smaller for good.
+func (l *Link) ForgetLargestWindow() {
+	window, _ := l.peerWindow()
+	l.fdMu.Lock()
+	defer l.fdMu.Unlock()
+	if window > 0 {
+		l.largestWindow = window
+	}
 }
 
 // pendingBytes returns how many bytes were put that the kernel has not accepted.
@@ -125,12 +138,32 @@
 // socket has accepted none of it, and the peer's kernel has acknowledged nothing. Each period in which data waits needs a
 // new ReadProgress.
 func (l *Link) PeerStalled(progress *ReadProgress, now time.Time) bool {
+	acknowledged, put := l.acknowledgedBytes()
+	if acknowledged >= put {
+		progress.since = time.Time{}
+	}
+	return progress.stalledFor(acknowledged, now) >= l.slowReaderTimeout
+}
+
+// TakesNothing is PeerStalled for a link whose owner holds data back for want of a window: the peer is not reading either if it has
+// acknowledged everything and its window stays too small.
+func (l *Link) TakesNothing(progress *ReadProgress, now time.Time) bool {
+	acknowledged, _ := l.acknowledgedBytes()
+	return progress.stalledFor(acknowledged, now) >= l.slowReaderTimeout
+}
+
+// acknowledgedBytes returns how many bytes the peer has acknowledged, and how many were put.
+func (l *Link) acknowledgedBytes() (acknowledged, put int64) {
 	unacknowledged := l.unacknowledgedBytes()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	acknowledged := l.writtenBytes - int64(unacknowledged)
-	if progress.since.IsZero() || acknowledged != progress.acknowledged || acknowledged >= l.putBytes {
-		progress.acknowledged, progress.since = acknowledged, now
+	return l.writtenBytes - int64(unacknowledged), l.putBytes
+}
+
+// stalledFor notes what the peer has acknowledged, and returns for how long that has not changed.
+func (p *ReadProgress) stalledFor(acknowledged int64, now time.Time) time.Duration {
+	if p.since.IsZero() || acknowledged != p.acknowledged {
+		p.acknowledged, p.since = acknowledged, now
 	}
-	return now.Sub(progress.since) >= l.slowReaderTimeout
+	return now.Sub(p.since)
 }
