--- a/internal/platform/late_reader_test.go
+++ b/internal/platform/late_reader_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"scalechute/internal/input"
+	"scalechute/logic"
 )
 
 // dialWithSmallBuffer connects a client whose kernel takes little more than the client reads.
@@ -99,6 +100,7 @@
 	for i := range 8 {
 		c.send(readCmd(fmt.Sprint("r", i)))
 	}
+	env.waitFor("its commands", func() bool { return env.actions[logic.HandOff] == 8 })
 	for !env.noClients() {
 		if time.Since(started) > slowReaderTimeout+5*time.Second {
 			t.Fatalf("the client is connected %v after it stopped reading", time.Since(started))
