--- a/review/rig/foreign.go
+++ b/review/rig/foreign.go
@@ -148,7 +148,7 @@
 		work         = 200 * time.Millisecond
 		pause        = 50 * time.Millisecond // of a usual client, after an answer
 		link         = time.Millisecond      // one way between the zones
-		length       = 40 * time.Second
+		length       = 60 * time.Second
 	)
 	s := &queuedServer{r: r, work: work}
 	if r.trouble {
