--- a/review/rig/foreign.go
+++ b/review/rig/foreign.go
@@ -144,7 +144,7 @@
 		usualClients = 60
 		badClients   = 3
 		commands     = 300 // that a bad client sends at once
-		copyShare    = 0.05
+		copyShare    = 0.025
 		work         = 200 * time.Millisecond
 		pause        = 50 * time.Millisecond // of a usual client, after an answer
 		link         = time.Millisecond      // one way between the zones
