--- a/review/rig/foreign.go
+++ b/review/rig/foreign.go
@@ -173,7 +173,7 @@
 	end := r.now() + length
 	for n := range usualClients {
 		clients.Go(func() {
-			c := must(dialClient(r.address))
+			c := r.dial()
 			defer func() { c.close() }()
 			for i := 0; r.now() < end; i++ {
 				id := fmt.Sprintf("%08x%08x", n, i)
@@ -183,7 +183,7 @@
 				switch {
 				case err != nil:
 					c.close()
-					c = must(dialClient(r.address))
+					c = r.dial()
 				case answer.served && answer.text != id:
 					foreign.Add(1)
 					r.note("BREAK: client %d: request %s was served with the value made for request %s", n, id, answer.text)
@@ -199,7 +199,7 @@
 	for n := range badClients {
 		clients.Go(func() {
 			for round := 0; r.now() < end; round++ {
-				c := must(dialClient(r.address))
+				c := r.dial()
 				r.note("bad client %d: sends %d commands at once", n, commands)
 				go func() {
 					for i := range commands {
--- a/review/rig/goback.go
+++ b/review/rig/goback.go
@@ -146,7 +146,7 @@
 	var clients sync.WaitGroup
 	for n := range 4 {
 		clients.Go(func() {
-			c := must(dialClient(r.address))
+			c := r.dial()
 			defer func() { c.close() }()
 			for i := 0; r.now() < lossAt+lossFor+3*time.Second; i++ {
 				id := fmt.Sprintf("%08x%08x", n, i)
@@ -159,7 +159,7 @@
 				r.note("client %d: request %s of key %s answered %q %v", n, id, key, answer.text, err)
 				if err != nil {
 					c.close()
-					c = must(dialClient(r.address))
+					c = r.dial()
 				}
 				time.Sleep(60 * time.Millisecond)
 			}
--- a/review/rig/repeat.go
+++ b/review/rig/repeat.go
@@ -179,7 +179,7 @@
 	var served, unserved atomic.Int64
 	for n := range clients {
 		playing.Go(func() {
-			c := must(dialClient(r.address))
+			c := r.dial()
 			defer func() { c.close() }()
 			for i := 0; r.now() < end; i++ {
 				id := fmt.Sprintf("%08x%08x", n, i)
@@ -197,7 +197,7 @@
 				}
 				if err != nil {
 					c.close()
-					c = must(dialClient(r.address))
+					c = r.dial()
 				}
 				time.Sleep(pause)
 			}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -64,6 +64,27 @@
 	return l.Addr().String()
 }
 
+// dial connects a client to the sentry. If that fails for long, the run ends with exit code 2.
+func (r *rig) dial() *client {
+	for deadline := time.Now().Add(3 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		c, err := dialClient(r.address)
+		if err == nil {
+			return c
+		}
+		if time.Now().After(deadline) {
+			r.abort("the sentry takes no connections: " + err.Error())
+		}
+	}
+}
+
+// abort ends all that the run has started, and the run with exit code 2.
+func (r *rig) abort(reason string) {
+	fmt.Fprintln(os.Stderr, "could not be run:", reason)
+	r.note("could not be run: %s", reason)
+	r.close()
+	os.Exit(2)
+}
+
 // sentryProcess is a running sentry.
 type sentryProcess struct {
 	command *exec.Cmd
@@ -161,10 +182,10 @@
 	go func() {
 		select {
 		case <-interrupted:
+			r.abort("interrupted")
 		case <-time.After(maxRun):
+			r.abort("it took too long")
 		}
-		r.close()
-		os.Exit(2)
 	}()
 	return r
 }
