--- a/review/rig/repeat.go
+++ b/review/rig/repeat.go
@@ -15,7 +15,7 @@
 func init() { cases["repeat"] = playRepeat }
 
 // When connections are reset under a request whose answer was lost, counted from when the server got it.
-const resetFrom, resetTo = 1420 * time.Millisecond, 1480 * time.Millisecond
+const resetFrom, resetTo = 1450 * time.Millisecond, 1480 * time.Millisecond
 
 // memory is what all servers together remember of idempotency keys: each drops repeats of one for a time.
 type memory struct {
