Where answers carry no id, a connection to a worker carries one hand-off

Cause: with no connection to spare, pickConn wrote a hand-off behind an open one. If it crossed the worker's answer, nothing else waited on the connection there, so the worker could send its second copy, and workerConn.read took it for the answer to the second hand-off: order alone says whose an answer is.

Fix: such a connection carries one hand-off, none within the cooldown, so a copy finds none and ends the connection. Waiting is shared: the module knows how many hand-offs can be open (MaxOpenHandOffs), its queue takes one client after the other, and a connection that comes free goes to the worker kept waiting first.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -126,6 +126,7 @@
 	config.Settings = &orders.Settings{Policy: policy, Endpoints: orders.Endpoints{Listen: file.Listen, Seed: int64(seed)},
 		ProfileNames: namesByIndex(names.Profiles), AccountNames: namesByIndex(names.Accounts), Zones: namesByIndex(zones)}
 	maxWorkerConns := config.MaxSockets - config.maxClients() - reservedSockets
+	config.Settings.Policy.MaxOpenHandOffs = maxWorkerConns // each has a connection of its own
 	config.Settings.Bounds = orders.Bounds{InboxEvents: 1024, OpenTransactions: config.MaxSockets, ConnectionsPerWorker: maxWorkerConns,
 		HandOffsPerConnection: max(1, names.StreamsPerConnection), WorkerConnections: maxWorkerConns, IdleTimeoutDivisor: 2}
 	return config, nil
--- a/internal/sentry/hand_offs.go
+++ b/internal/sentry/hand_offs.go
@@ -160,8 +160,8 @@
 	}
 	h.ended = true
 	s.setTimer(t)
-	w := h.worker
-	if h.conn != nil {
+	w, carried := h.worker, h.conn != nil
+	if carried {
 		switch {
 		case ending != logic.TimedOut && ending != logic.Broken:
 		case h.conn.link.AnswerStarted(h.id):
@@ -187,6 +187,9 @@
 	if w != nil && len(w.queue) > 0 {
 		s.sendQueued(w)
 	}
+	if carried {
+		s.dialBlocked()
+	}
 }
 
 // handleWorkerAnswer handles a worker's answer. An answer to a hand-off that has ended is counted and ignored.
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -41,6 +41,7 @@
 	injectedFault InjectedFault
 	killed        atomic.Bool
 	routing       atomic.Pointer[routing]
+	lastClientID  atomic.Uint64
 	listWrites    sync.WaitGroup // of the worker list's file
 
 	// The fields below are accessed by the event loop only.
@@ -60,6 +61,7 @@
 	workers          map[logic.WorkerID]*worker
 	conns            []*pooledConn // in the order in which they were established
 	dials            int           // connections being opened
+	blockedWorkers   []*worker     // whose queued hand-offs need a connection beyond the bounds, in the order in which they met them
 	workerList       workerList
 	discovery        *upstream
 	controlPlane     *upstream
@@ -125,6 +127,7 @@
 
 // client is a connection from a client or a peer.
 type client struct {
+	id            logic.ClientID
 	link          ClientConn
 	helloReceived bool
 	isPeer        bool
@@ -352,6 +355,8 @@
 			s.endHandOff(t, index, logic.TimedOut, logic.NoLoad)
 		case h.conn == nil && h.deadline <= due: // no byte of it was written
 			s.endHandOff(t, index, logic.Unsent, logic.NoLoad)
+		case h.conn == nil && h.connectBy <= due && s.waitsForOwnHandOffs(h.worker): // up to its deadline
+			h.connectBy = s.now + s.config.ConnectTimeout
 		case h.conn == nil && h.connectBy <= due:
 			s.endHandOff(t, index, logic.Unconnected, logic.NoLoad)
 		}
@@ -681,7 +686,7 @@
 	s.setTimer(t)
 	s.deliver(input.Input{Kind: input.TransactionArrived, Transaction: logic.Transaction{
 		ID: t.id, Profile: logic.ProfileID(e.profile), Account: logic.AccountID(e.account) - 1, Key: e.key,
-		Deadline: t.deadline, ExpectedWork: logic.Micros(e.expectedWork), IsRetry: e.isRetry}})
+		Deadline: t.deadline, ExpectedWork: logic.Micros(e.expectedWork), IsRetry: e.isRetry, Client: c.id}})
 }
 
 // newTransaction returns an empty transaction with a new id.
--- a/internal/sentry/transport.go
+++ b/internal/sentry/transport.go
@@ -86,7 +86,9 @@
 }
 
 // AddClient registers a new connection as a client.
-func (s *Sentry) AddClient(c ClientConn) ClientHandler { return ClientHandler{s, &client{link: c}} }
+func (s *Sentry) AddClient(c ClientConn) ClientHandler {
+	return ClientHandler{s, &client{id: logic.ClientID(s.lastClientID.Add(1)), link: c}}
+}
 
 // TransactionReceived passes on a transaction. Its profile and account must exist. Key, token and payload are copied.
 func (h ClientHandler) TransactionReceived(m *wire.Ask) {
--- a/internal/sentry/worker_pool.go
+++ b/internal/sentry/worker_pool.go
@@ -63,18 +63,12 @@
 	return earliest > 0
 }
 
-// pickConn returns the connection with the fewest open hand-offs that has a free slot and was not tried yet. Among
-// equals it returns the one unused for longest: the worker may be about to close a connection after its last answer.
-// Where answers come in order, each hand-off should have a connection of its own. There pickConn returns nil rather
-// than a connection with open hand-offs, if another connection is being dialed, may be dialed, or is in its cooldown.
+// pickConn returns the connection with the fewest open hand-offs that has a free slot, is not in its cooldown and was not
+// tried yet. Among equals it returns the one unused for longest: the worker may be about to close a connection after its
+// last answer.
 func (s *Sentry) pickConn(w *worker, tried []*pooledConn) (best *pooledConn) {
-	coolingDown := false
 	for _, c := range w.conns {
-		if len(c.freeSlots) == 0 || c.closed || slices.Contains(tried, c) {
-			continue
-		}
-		if s.cooldownUntil(c) > 0 {
-			coolingDown = true
+		if len(c.freeSlots) == 0 || c.closed || s.cooldownUntil(c) > 0 || slices.Contains(tried, c) {
 			continue
 		}
 		if best == nil || len(c.freeSlots) > len(best.freeSlots) ||
@@ -82,23 +76,28 @@
 			best = c
 		}
 	}
-	if best != nil && !best.isIdle() && s.transport.AnswersInOrder() && (coolingDown || w.dials > 0 || s.mayDial(w)) {
-		return nil
-	}
 	return best
 }
 
 // isIdle reports whether a connection has no open hand-offs.
 func (c *pooledConn) isIdle() bool { return len(c.freeSlots) == len(c.slots) }
 
-// handOffsPerDial returns how many queued hand-offs one new connection is meant for.
-func (s *Sentry) handOffsPerDial() int {
+// handOffsPerConnection returns how many hand-offs a connection may have open. Where answers carry no id, it is one: a
+// worker may send an answer twice while nothing else waits on the connection, and the second copy would be taken for the
+// answer to a hand-off that was written meanwhile.
+func (s *Sentry) handOffsPerConnection() int {
 	if s.transport.AnswersInOrder() {
 		return 1
 	}
 	return s.settings.Bounds.HandOffsPerConnection
 }
 
+// waitsForOwnHandOffs reports whether the queued hand-offs of a worker wait only because other hand-offs of this sentry use
+// all connections that it may have. The worker is not at fault then.
+func (s *Sentry) waitsForOwnHandOffs(w *worker) bool {
+	return s.transport.AnswersInOrder() && w.dials == 0 && !s.mayDial(w)
+}
+
 // mayDial reports whether one more connection to a worker is within the bounds, if necessary in place of an idle one.
 func (s *Sentry) mayDial(w *worker) bool {
 	b := &s.settings.Bounds
@@ -125,14 +124,22 @@
 			wanted, canWait = wanted-1, canWait-1
 		}
 	}
-	if w.dials*s.handOffsPerDial() >= wanted || !s.mayDial(w) {
+	if w.dials*s.handOffsPerConnection() >= wanted {
 		return
 	}
-	if limit := s.settings.Bounds.WorkerConnections; limit > 0 && len(s.conns)+s.dials >= limit {
-		s.closeLongestIdle()
+	if !s.mayDial(w) {
+		if !slices.Contains(s.blockedWorkers, w) {
+			s.blockedWorkers = append(s.blockedWorkers, w)
+		}
+		return
 	}
+	limit := s.settings.Bounds.WorkerConnections
+	replacesOther := limit > 0 && len(s.conns)+s.dials >= limit
 	w.dials++
 	s.dials++
+	if replacesOther {
+		s.closeLongestIdle()
+	}
 	s.metrics.dials.Inc()
 	address, timeout := w.address, toDuration(s.config.ConnectTimeout)
 	go func() {
@@ -142,6 +149,16 @@
 	}()
 }
 
+// dialBlocked opens connections for the workers that the bounds kept from it, as far as the bounds now allow. It is called
+// when a connection has closed or has no open hand-offs any more.
+func (s *Sentry) dialBlocked() {
+	blocked := s.blockedWorkers
+	s.blockedWorkers = nil
+	for _, w := range blocked {
+		s.dial(w)
+	}
+}
+
 // closeLongestIdle closes the connection that has been idle longest, to make room for another.
 func (s *Sentry) closeLongestIdle() {
 	var longest *pooledConn
@@ -174,7 +191,7 @@
 	if c.closed || c.ready {
 		return
 	}
-	w, count := c.worker, s.settings.Bounds.HandOffsPerConnection
+	w, count := c.worker, s.handOffsPerConnection()
 	c.ready, c.slots, c.lastUsed = true, make([]slot, count), s.now
 	for i := count - 1; i >= 0; i-- {
 		c.freeSlots = append(c.freeSlots, i)
@@ -193,7 +210,7 @@
 func (s *Sentry) handleDialFailed(w *worker) {
 	w.dials--
 	// The hand-offs that the other dials are meant for stay queued; all do while a connection is in its cooldown.
-	keep := w.dials * s.handOffsPerDial()
+	keep := w.dials * s.handOffsPerConnection()
 	if s.scheduleCooldownEnd(w) {
 		keep = len(w.queue)
 	}
@@ -213,6 +230,7 @@
 			s.endHandOff(x.t, x.index, logic.Unconnected, logic.NoLoad)
 		}
 	}
+	s.dialBlocked()
 }
 
 // freeSlot frees the slot of a hand-off, if it still holds it.
@@ -245,6 +263,7 @@
 			s.endHandOff(x.t, x.index, logic.Broken, logic.NoLoad)
 		}
 	}
+	s.dialBlocked()
 }
 
 // probeWorker sends a probe to a worker if it has a connection to it.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,7 +22,8 @@
 //     (judgeOutcomes, judgeFleetLatency, decideVerdict).
 //
 // The types of inputs and outputs are in port.go, a sentry's state and its helpers in state.go, the decisions in
-// logic.go, the rules on stale worker lists in lease.go, and the schedule of a planned stop in drain.go.
+// logic.go, the queue of transactions that no worker can take in queue.go, the rules on stale worker lists in lease.go,
+// and the schedule of a planned stop in drain.go.
 package logic
 
 import (
@@ -213,10 +214,14 @@
 
 // underConcurrencyLimit reports whether one more transaction may have an open hand-off. A retry, or a transaction
 // with a deadline before its due time, must leave half of the limit free, since the clients that send these would
-// leave nothing to others. Other transactions may exceed the limit if a worker of the sentry's group is idle.
+// leave nothing to others. Other transactions may exceed the limit if a worker of the sentry's group is idle. None may
+// exceed what the caller can have open: it would wait for a connection to its worker while others are free.
 func (s *Sentry) underConcurrencyLimit(t *transaction) bool {
+	if s.config.MaxOpenHandOffs > 0 && s.openHandOffs >= s.config.MaxOpenHandOffs {
+		return false
+	}
 	lowPriority := t.IsRetry || t.Deadline-t.arrivedAt < t.profile.DueTime
-	if fits := float64(s.openHandOffs-s.lostHandOffs) <
+	if fits := s.openForLimit(t, lowPriority) <
 		s.concurrencyLimit*(1-retryReservedShare*oneIf(lowPriority)); fits || lowPriority || !s.inGroup() {
 		return fits
 	}
@@ -225,6 +230,16 @@
 	return slices.ContainsFunc(workers.ready[:workers.groupWorkers], idle)
 }
 
+// openForLimit returns how many open hand-offs the concurrency limit is compared with: those of all clients, or for the
+// first hand-off of a client, one for each client. A client with many transactions at once thus delays its own.
+func (s *Sentry) openForLimit(t *transaction, lowPriority bool) float64 {
+	open := s.openHandOffs - s.lostHandOffs
+	if t.Client != NoClient && s.openByClient[t.Client] == 0 && !lowPriority {
+		open = min(open, len(s.openByClient))
+	}
+	return float64(open)
+}
+
 const (
 	retryBudgetShare = 0.05 // retries and hedges allowed per transaction taken
 	maxRetryBudget   = 10
@@ -295,48 +310,6 @@
 	return true
 }
 
-// queueOrGiveUp queues a transaction while no worker can take it, and gives it up once an answer in time is unlikely.
-func (s *Sentry) queueOrGiveUp(t *transaction) bool {
-	deadline := s.queueDeadline(t)
-	switch {
-	case t.hasOpenHandOff(): // a hedge that finds no worker is dropped
-	case s.now >= deadline:
-		return s.giveUp(t)
-	case !t.queued:
-		t.queued = true
-		s.queue = append(s.queue, t)
-		s.wakeUp(deadline, t)
-	}
-	return false
-}
-
-// queueDeadline returns the time until which a transaction stays queued. After it, an answer in time is unlikely.
-func (s *Sentry) queueDeadline(t *transaction) Micros {
-	return min(t.arrivedAt+t.profile.DueTime/4, t.Deadline-s.config.TimerGranularity)
-}
-
-// runQueued hands off queued transactions, highest value per work first, after an event that may have freed capacity
-// for them.
-func (s *Sentry) runQueued() {
-	queued := s.queue
-	s.queue = nil
-	slices.SortStableFunc(queued, func(a, b *transaction) int {
-		return cmp.Compare(s.profiles[b.Profile].valuePerWork(), s.profiles[a.Profile].valuePerWork())
-	})
-	for _, t := range queued {
-		switch {
-		case t.closed || !t.queued:
-		case s.underConcurrencyLimit(t):
-			t.queued = false
-			s.runFilters(t, 1)
-		case s.now >= s.queueDeadline(t):
-			s.giveUp(t)
-		default:
-			s.queue = append(s.queue, t)
-		}
-	}
-}
-
 // giveUp answers a transaction at once: it is deferred if a retry by the client is harmless, and written off
 // otherwise.
 func (s *Sentry) giveUp(t *transaction) bool {
@@ -536,6 +509,7 @@
 	t.handOffs = append(t.handOffs, h)
 	s.openByWorker[w]++
 	s.openHandOffs++
+	s.openByClient[t.Client]++
 	s.coldHandOffs[w], s.handOffTimes = append(s.coldHandOffs[w], s.now), append(s.handOffTimes, s.now)
 	if trial, onTrial := s.trialBuild(); onTrial && s.workers[w].Build == trial {
 		for _, c := range t.exposureCounters() {
@@ -594,6 +568,9 @@
 	h.mayHaveRun = h.end.Ending != TurnedAway && h.end.Ending != Unconnected && h.end.Ending != Unsent
 	s.openByWorker[h.worker] = max(0, s.openByWorker[h.worker]-1)
 	s.openHandOffs--
+	if s.openByClient[t.Client]--; s.openByClient[t.Client] <= 0 {
+		delete(s.openByClient, t.Client)
+	}
 	s.renewLease(h)
 	s.notifyGroup(h.worker, messageHandOffEnded)
 	s.adjustConcurrencyLimit(&s.profiles[t.Profile], h.worker, h.end)
--- a/logic/port.go
+++ b/logic/port.go
@@ -20,9 +20,13 @@
 	ZoneID int
 	// SentryID is the position of a sentry in its tier, from 0.
 	SentryID int
+	// ClientID identifies a client's connection, or is NoClient.
+	ClientID uint64
 )
 
 const (
+	// NoClient is the client of a transaction whose connection is not known.
+	NoClient ClientID = 0
 	// NoAccount is the account of a transaction that belongs to none.
 	NoAccount AccountID = -1
 	// EverySentry addresses a Message to all other sentries of the tier.
@@ -108,6 +112,7 @@
 	MayProbe, MayCancel, MayHedge, MayMessage, MayNameRetryAfter bool
 	MaxHandOffs                                                  int    // per transaction, the first included
 	MaxRetryAfter                                                Micros // longest time that a deferral may name
+	MaxOpenHandOffs                                              int    // that the caller can have open at a time; 0: no limit
 	ConnectTimeout                                               Micros // for a connection to a worker
 	IdleTimeout                                                  Micros // an unused connection is closed after it; 0: never
 	TimerGranularity                                             Micros // precision of the caller's timers
@@ -191,6 +196,7 @@
 	Deadline     Micros // the client stops waiting for this try then
 	ExpectedWork Micros // 0 if not known
 	IsRetry      bool   // the client marked it as a retry
+	Client       ClientID
 }
 
 // Ending is how a hand-off ended.
--- a/logic/state.go
+++ b/logic/state.go
@@ -31,6 +31,7 @@
 	arrivedAt      Micros
 	slot           int // 0 to 99, by the two-build hash, or at random without a key
 	worker         int // index of the chosen worker, or -1
+	turn           int // its place among the open and queued transactions of its client; see sortQueue
 	handOffs       []handOff
 	closed, queued bool
 }
@@ -84,9 +85,11 @@
 	arrivalWindow              Micros          // how long arrivalTimes and handOffTimes go back
 	arrivalTimes               []Micros
 	handOffTimes               []Micros
-	retryBudget                float64 // retries and hedges that the budget allows now
-	openHandOffs, lostHandOffs int     // this sentry's, and how many of them have lost their answer
-	concurrencyLimit           float64 // how many may be open
+	retryBudget                float64          // retries and hedges that the budget allows now
+	openHandOffs, lostHandOffs int              // this sentry's, and how many of them have lost their answer
+	concurrencyLimit           float64          // how many may be open
+	openByClient               map[ClientID]int // open hand-offs; clients without any are left out
+	nextTurns                  map[ClientID]int // reused by sortQueue
 
 	// Workers. Each has an index, called w in the code. Most slices below are indexed by it.
 	workerIndex          map[WorkerID]int
@@ -180,6 +183,7 @@
 func New(config Config, seed int64) *Sentry {
 	s := &Sentry{
 		random: rand.New(rand.NewSource(seed)), openTransactions: map[TransactionID]*transaction{},
+		openByClient: map[ClientID]int{}, nextTurns: map[ClientID]int{},
 		workerIndex: map[WorkerID]int{}, byShortID: map[uint64]int{},
 		buildWorkers: map[BuildID]*buildWorkers{}, rolledBack: map[BuildID]bool{},
 		trialKeys: map[Key]BuildID{}, givenUp: map[Key]int{},
