A labelled request is written only within the deduplication window

Cause: mayRetry looked at the window when it ordered the hand-off; the hand-off then waited for a connection, and the write looked at the lease on the list alone (SendBy).

Fix: SendBy is the earlier of the lease and the windows of the earlier hand-offs that may have run; mayRetry asks the same function. The loop reads its clock before each write, and a hand-off that still waits when its time is over ends as unsent at once.

--- a/internal/sentry/hand_offs.go
+++ b/internal/sentry/hand_offs.go
@@ -32,7 +32,7 @@
 	if h.deadline <= 0 {
 		h.deadline = t.deadline
 	}
-	if s.closeIfClientGone(t); t.closed || w == nil || h.deadline <= s.now || index >= s.config.MaxHandOffs || s.leaseExpired(h) {
+	if s.closeIfClientGone(t); t.closed || w == nil || h.deadline <= s.now || index >= s.config.MaxHandOffs || s.sendByPassed(h) {
 		s.endHandOff(t, index, logic.Unsent, logic.NoLoad)
 		return
 	}
@@ -45,9 +45,9 @@
 	}
 }
 
-// leaseExpired reports whether the lease on the worker list that the hand-off relies on has expired, and counts it. It
-// reads the clock again: the loop may have been stalled since the time of the current input.
-func (s *Sentry) leaseExpired(h *handOff) bool {
+// sendByPassed reports whether the time has passed until which the hand-off may be written, and counts it. It reads the
+// clock again: the loop may have been stalled since the time of the current input.
+func (s *Sentry) sendByPassed(h *handOff) bool {
 	if h.sendBy == 0 || s.clock.now() <= h.sendBy {
 		return false
 	}
@@ -129,7 +129,7 @@
 				}
 				continue
 			}
-			if s.leaseExpired(&x.t.handOffs[x.index]) {
+			if s.sendByPassed(&x.t.handOffs[x.index]) {
 				w.queue = w.queue[1:]
 				s.endHandOff(x.t, x.index, logic.Unsent, logic.NoLoad)
 				continue
--- a/internal/sentry/metrics.go
+++ b/internal/sentry/metrics.go
@@ -81,7 +81,7 @@
 	m.handOffsOnOldLists = counter("attempts_on_old_lists_total",
 		"Workers that received a hand-off when discovery had sent no update for 4 s, counted once per worker and update.")
 	m.expiredHandOffs = counter("attempts_expired_total",
-		"Hand-offs not sent because the lease on the worker list that they rely on had expired.")
+		"Hand-offs not sent because the lease on the worker list or the deduplication window that permits them had expired.")
 	m.votes = counter("votes_total", "Votes sent.")
 	m.messagesSent = counter("messages_total", "Messages sent to peers.")
 	gauge := func(name, help string, f func() float64) {
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -332,6 +332,9 @@
 		at := h.deadline
 		if h.conn == nil {
 			at = min(at, h.connectBy)
+			if h.sendBy > 0 {
+				at = min(at, h.sendBy+1)
+			}
 		}
 		if !h.ended && (due == 0 || at < due) {
 			due = at
@@ -353,7 +356,7 @@
 		case h.ended:
 		case h.conn != nil && h.deadline <= due:
 			s.endHandOff(t, index, logic.TimedOut, logic.NoLoad)
-		case h.conn == nil && h.deadline <= due: // no byte of it was written
+		case h.conn == nil && (h.deadline <= due || h.sendBy > 0 && h.sendBy < due): // no byte of it was written
 			s.endHandOff(t, index, logic.Unsent, logic.NoLoad)
 		case h.conn == nil && h.connectBy <= due && s.waitsForOwnHandOffs(h.worker): // up to its deadline
 			h.connectBy = s.now + s.config.ConnectTimeout
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -503,6 +503,7 @@
 // hedge or a cancellation.
 func (s *Sentry) handOff(t *transaction) bool {
 	w, profile := t.worker, t.profile
+	sendBy := earliestLimit(s.sendBy(w), t.dedupUntil(s.config.TimerGranularity))
 	h := handOff{worker: w, build: s.workers[w].Build, sentAt: s.now, mayHaveRun: true,
 		newConnection: !s.likelyConnected(w)}
 	h.timingInvalid = h.newConnection
@@ -518,7 +519,7 @@
 	}
 	s.notifyGroup(w, messageHandOff)
 	action := Action{Kind: HandOff, Transaction: t.ID, Worker: s.workers[w].ID, Deadline: t.Deadline,
-		SendBy: s.sendBy(w)}
+		SendBy: sendBy}
 	s.result.Actions = append(s.result.Actions, action)
 	if config := &s.config; config.MayHedge && len(t.handOffs) == 1 ||
 		!config.MayHedge && config.MayCancel && profile.Repeatability != NonIdempotent {
@@ -552,14 +553,34 @@
 	if len(t.handOffs) >= s.config.MaxHandOffs || t.Deadline-s.now < s.config.TimerGranularity {
 		return false
 	}
-	profile := t.profile
-	for _, h := range t.handOffs {
-		windowOver := profile.Repeatability == Deduplicated && s.now >= h.sentAt+profile.DedupWindow-s.config.TimerGranularity
-		if h.mayHaveRun && (profile.Repeatability == NonIdempotent || windowOver) {
-			return false
+	mayHaveRun := slices.ContainsFunc(t.handOffs, func(h handOff) bool { return h.mayHaveRun })
+	if t.profile.Repeatability == NonIdempotent && mayHaveRun {
+		return false
+	}
+	dedupUntil := t.dedupUntil(s.config.TimerGranularity)
+	return dedupUntil == 0 || s.now < dedupUntil
+}
+
+// dedupUntil returns until when workers certainly drop a repetition of a deduplicated transaction that may have run, 0 if
+// no limit applies.
+func (t *transaction) dedupUntil(granularity Micros) (until Micros) {
+	if t.profile.Repeatability != Deduplicated {
+		return 0
+	}
+	for i := range t.handOffs {
+		if h := &t.handOffs[i]; h.mayHaveRun {
+			until = earliestLimit(until, max(1, h.sentAt+t.profile.DedupWindow-granularity))
 		}
 	}
-	return true
+	return until
+}
+
+// earliestLimit returns the earlier of two limits, of which 0 means none.
+func earliestLimit(a, b Micros) Micros {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
 }
 
 // recordHandOffEnd frees what the hand-off occupied, and updates the worker's lease and the concurrency limit.
--- a/logic/port.go
+++ b/logic/port.go
@@ -321,13 +321,15 @@
 
 // Action is one thing to do about one transaction. Actions are carried out in order.
 type Action struct {
-	Kind          ActionKind
-	Transaction   TransactionID
-	Worker        WorkerID // HandOff
-	Deadline      Micros   // HandOff: the sentry stops waiting for an answer then
-	SendBy        Micros   // HandOff: it must not be written later, 0 if there is no such limit
-	HandOffNumber int      // CancelHandOff: among the hand-offs of the transaction, from 0
-	RetryAfter    Micros   // Defer: how long the client should wait before it retries, 0 if not stated
+	Kind        ActionKind
+	Transaction TransactionID
+	Worker      WorkerID // HandOff
+	Deadline    Micros   // HandOff: the sentry stops waiting for an answer then
+	// HandOff: it must not be written later, by the lease on the worker list and by the deduplication window of an earlier
+	// hand-off that may have run; 0 if there is no such limit.
+	SendBy        Micros
+	HandOffNumber int    // CancelHandOff: among the hand-offs of the transaction, from 0
+	RetryAfter    Micros // Defer: how long the client should wait before it retries, 0 if not stated
 }
 
 // Verdict is what a sentry votes for.
