A key with a hand-off open at the trial does not go to the earlier build

Cause: the key was noted when the hand-off ended; the rule binds from the write of the answer, which comes later or never. While the hand-off was out, assignBuild sent hedges (lastOnTrial) and other requests to the earlier build.

In flight is read off the open hand-offs of the key, so endings, cancellations and changes of list or release can't leave it wrong. Requests of a key in flight go to the trial or wait; a hedge that the trial can't take is dropped and its request goes on.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -208,7 +208,7 @@
 		s.takenTimes[c] = dropUpTo(append(s.takenTimes[c], s.now), s.now-s.maxRuleWindow)
 	}
 	s.retryBudget = min(s.retryBudget+retryBudgetShare, maxRetryBudget)
-	s.openTransactions[t.ID] = t
+	s.addOpen(t)
 	return s.underConcurrencyLimit(t) || s.queueOrGiveUp(t)
 }
 
@@ -288,26 +288,34 @@
 // assignBuild chooses the build. A transaction goes to the trial if its slot, by the two-build hash of its key or at
 // random without a key, is one of the trial's and the exposure bound allows it. A transaction whose last hand-off went
 // to the trial does not go there again, and in guarded stages only idempotent transactions do. With ForwardOnly, a key
-// that has been on the trial stays there: if the trial cannot take it, the transaction is given up. All others go to
-// the earlier build, which pickWorker uses where no worker is chosen here.
+// that the trial has or may have answered stays there (see keyState). All others go to the earlier build, which
+// pickWorker uses where no worker is chosen here.
 func (s *Sentry) assignBuild(t *transaction) bool {
 	trial, onTrial := s.trialBuild()
-	keyOnTrial := s.config.ForwardOnly && onTrial && t.Key != "" && s.trialKeys[t.Key] == trial
 	t.worker = -1
-	if onTrial {
-		if t.Key != "" {
-			t.slot = hashSlot(t.Key, s.earlierBuild, trial)
-		}
-		lastOnTrial := len(t.handOffs) > 0 && t.handOffs[len(t.handOffs)-1].build == trial
-		guarded := s.release.Stage < s.config.GuardedStages && t.profile.Repeatability != Idempotent
-		if keyOnTrial || t.slot < s.trialSlots && !guarded && !lastOnTrial {
-			if !guarded && s.withinExposureBound(t, keyOnTrial) {
-				t.worker = s.chooseWorker(t, trial)
-			}
-			return t.worker >= 0 || !keyOnTrial || s.giveUp(t)
-		}
+	if !onTrial {
+		return true
 	}
-	return true
+	if t.Key != "" {
+		t.slot = hashSlot(t.Key, s.earlierBuild, trial)
+	}
+	state := s.keyStateOf(t, nil)
+	keyOnTrial := state != keyUnknown
+	lastOnTrial := len(t.handOffs) > 0 && t.handOffs[len(t.handOffs)-1].build == trial
+	guarded := s.release.Stage < s.config.GuardedStages && t.profile.Repeatability != Idempotent
+	mayUseTrial := !guarded && (keyOnTrial || t.slot < s.trialSlots && !lastOnTrial)
+	if mayUseTrial && s.withinExposureBound(t, keyOnTrial) {
+		t.worker = s.chooseWorker(t, trial)
+	}
+	switch {
+	case t.worker >= 0 || !keyOnTrial:
+		return true
+	case t.hasOpenHandOff(): // the hedge is dropped
+		return false
+	case state == keyInFlight:
+		return s.queueOrGiveUp(t)
+	}
+	return s.giveUp(t)
 }
 
 // giveUp answers a transaction at once: it is deferred if a retry by the client is harmless, and written off
@@ -876,12 +884,7 @@
 	stats := &s.profiles[t.Profile]
 	_, onTrial := s.trialBuild()
 	ofNewest := s.release.Valid && (onTrial || s.release.Phase == Released) && h.build == s.release.Build
-	// A hand-off that may have run may have been answered although no answer was read. If the list has changed the
-	// worker's build meanwhile, either build may have answered.
-	mayBeAnswered := h.mayHaveRun && h.end.Ending != Errored
-	if mayBeAnswered && onTrial && (ofNewest || s.workers[h.worker].Build == s.release.Build) {
-		s.trialKeys[t.Key] = s.release.Build
-	}
+	s.noteTrialAnswer(t, h)
 	duration, failed, lateThreshold := float64(h.end.Duration), h.end.Ending == Errored,
 		min(lateFactor*stats.latencyThreshold, float64(stats.DueTime))
 	conclusive := failed || h.end.Ending == Answered || h.end.Ending == TimedOut && !s.answerLost(h.worker, h.sentAt)
--- a/logic/queue.go
+++ b/logic/queue.go
@@ -18,7 +18,10 @@
 	case !t.queued:
 		t.queued = true
 		s.queue = append(s.queue, t)
-		s.wakeUp(deadline, t)
+		if !t.wakesAtQueueDeadline {
+			t.wakesAtQueueDeadline = true
+			s.wakeUp(deadline, t)
+		}
 	}
 	return false
 }
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -40,6 +40,7 @@
 	sentAt     Micros
 	ended      bool
 	mayHaveRun bool // false only once it is proven not to have run
+	answered   bool // the worker has written a good answer, which the sentry has not read
 }
 
 // randomConfig returns a random configuration with one profile of each Repeatability.
@@ -235,6 +236,9 @@
 		return
 	}
 	h.ended = true
+	if h.answered && (ending == Errored || ending == TurnedAway || ending == Unconnected || ending == Unsent) {
+		ending = Broken // an answer that was written may be lost, but it is no other one
+	}
 	h.mayHaveRun = ending != TurnedAway && ending != Unconnected && ending != Unsent
 	closed := tx.closed || ending == Answered
 	if ending == Answered && !tx.closed {
@@ -248,6 +252,15 @@
 		Duration: sim.now - h.sentAt, TransactionClosed: closed, Load: Load{float64(sim.random.Intn(4) - 1), -1, -1}}))
 }
 
+// writeAnswer has the worker of a hand-off write a good answer, which the sentry reads later or not at all. If it is a
+// trial worker's, its key has met the trial from then on.
+func (sim *simulation) writeAnswer(tx *simTransaction, h *simHandOff) {
+	if w := sim.workersByID[h.worker]; !h.ended && w.Build == sim.release.Build && sim.release.Phase == OnTrial {
+		h.answered = true
+		sim.keysOnTrial[tx.transaction.Key] = tx.transaction.Key != ""
+	}
+}
+
 // checkDeadlines ends the hand-offs of transactions past their deadline and checks that no final answer is overdue.
 func (sim *simulation) checkDeadlines() {
 	kept := sim.openIDs[:0]
@@ -291,7 +304,12 @@
 			if sim.random.Intn(4) == 0 {
 				ending = Ending(sim.random.Intn(8))
 			}
-			sim.endHandOff(tx, sim.random.Intn(len(tx.handOffs)), ending)
+			number := sim.random.Intn(len(tx.handOffs))
+			if sim.random.Intn(3) == 0 {
+				sim.writeAnswer(tx, tx.handOffs[number])
+			} else {
+				sim.endHandOff(tx, number, ending)
+			}
 		}
 	}
 	switch sim.random.Intn(150) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -34,6 +34,8 @@
 	turn           int // its place among the open and queued transactions of its client; see sortQueue
 	handOffs       []handOff
 	closed, queued bool
+	// A wake-up at its queueDeadline is set.
+	wakesAtQueueDeadline bool
 }
 
 // hasOpenHandOff reports whether a hand-off of the transaction has not ended.
@@ -74,7 +76,8 @@
 	now                        Micros
 	result                     Result
 	openTransactions           map[TransactionID]*transaction
-	wakeUps                    []wakeUp // the earliest first
+	openByKey                  map[Key][]*transaction // the open transactions that have a key
+	wakeUps                    []wakeUp               // the earliest first
 	queue                      []*transaction
 	profiles                   []profileStats  // by ProfileID
 	allProfiles                profileStats    // only its trialExcess is used, for all profiles together
@@ -183,6 +186,7 @@
 func New(config Config, seed int64) *Sentry {
 	s := &Sentry{
 		random: rand.New(rand.NewSource(seed)), openTransactions: map[TransactionID]*transaction{},
+		openByKey:    map[Key][]*transaction{},
 		openByClient: map[ClientID]int{}, nextTurns: map[ClientID]int{},
 		workerIndex: map[WorkerID]int{}, byShortID: map[uint64]int{},
 		buildWorkers: map[BuildID]*buildWorkers{}, rolledBack: map[BuildID]bool{},
@@ -436,7 +440,7 @@
 // removeTransaction forgets a closed transaction that has no open hand-off.
 func (s *Sentry) removeTransaction(t *transaction) {
 	if !t.hasOpenHandOff() {
-		delete(s.openTransactions, t.ID)
+		s.removeOpen(t)
 	}
 }
 
