A hand-off that waited for a connection is written only if its conditions still hold

Shown by tests: the key was taken by the trial meanwhile, the release went back, a stage became guarded, the exposure bound was used up, the worker left the deduplication group.

Cause: the write looked at the clock, and at the worker's address, build and state, not at the release, the key or the bounds; exposure and a cold worker's load were counted from the order.

Fix: HandOffConnected, one pure decision in logic/send.go, asked in the one place through which hand-offs that waited pass. What holds no more ends as unsent; exposure and cold load count from the write.

Evidence: TestConditionsChangedBeforeTheWrite, TestWithheldHandOffIsNotWritten; TestForwardOnlyInEveryOrder plays all orders of up to seven events for two transactions of a key, and fails with the former way of noting keys put back.

--- a/internal/input/input.go
+++ b/internal/input/input.go
@@ -21,7 +21,8 @@
 	PeerMessageReceived
 	CountsReceived
 	Reconfigured
-	ProbeAnswered // not passed to the module; only recorded
+	ProbeAnswered    // not passed to the module; only recorded
+	HandOffConnected // a connection has come free for a hand-off that had to wait for one
 )
 
 // Input is one input. After Kind only the fields of its kind are used.
@@ -30,7 +31,8 @@
 	Kind          Kind
 	Transaction   logic.Transaction   // TransactionArrived
 	End           logic.HandOffEnd    // HandOffEnded
-	ID            logic.TransactionID // ClientLeft
+	ID            logic.TransactionID // ClientLeft, HandOffConnected
+	HandOffNumber int                 // HandOffConnected: among the hand-offs of the transaction, from 0
 	ListKind      logic.ListKind      // ListReceived
 	List          []logic.Worker      // ListReceived
 	Busy          bool                // ListRequestFailed: discovery turned the request away
@@ -70,6 +72,8 @@
 		return s.PeerMessageReceived(in.At, in.From, in.Body)
 	case CountsReceived:
 		return s.CountsReceived(in.At, in.Counts)
+	case HandOffConnected:
+		return s.HandOffConnected(in.At, in.ID, in.HandOffNumber)
 	case Reconfigured:
 		return s.Reconfigure(in.At, *in.Config)
 	default:
--- a/internal/platform/list_staleness_test.go
+++ b/internal/platform/list_staleness_test.go
@@ -100,3 +100,47 @@
 		env.mu.Unlock()
 	}
 }
+
+// Guards against a hand-off that has waited for a connection being written although the module withholds it: what it was
+// ordered by holds no more.
+func TestWithheldHandOffIsNotWritten(t *testing.T) {
+	gate := make(chan struct{})
+	var withheldReceived atomic.Bool
+	address := startWorker(t, func(c net.Conn, n int, words []string) {
+		switch words[2] {
+		case "blocker":
+			<-gate
+		case "withheld":
+			withheldReceived.Store(true)
+		}
+		answerValue(c, n, words)
+	})
+	env := newEnv(t, options{workers: []string{address}, replacements: longDeadline, decide: func(in *input.Input) (out logic.Result) {
+		switch in.Kind {
+		case input.TransactionArrived:
+			out.Actions = []logic.Action{{Kind: logic.HandOff, Transaction: in.Transaction.ID, Worker: "w0"}}
+		case input.HandOffEnded:
+			if in.End.Ending == logic.Unsent {
+				out.Actions = []logic.Action{{Kind: logic.Defer, Transaction: in.End.Transaction}}
+			}
+		case input.HandOffConnected:
+			out.Withhold = true
+		}
+		return out
+	}})
+	env.sentry.Inspect(func() { env.p.config.Load().Settings.Bounds.ConnectionsPerWorker = 1 })
+	first, second := env.dial(t), env.dial(t)
+	first.send(longReadCmd("warm"))
+	first.expectReply("-BUSY") // it waited for the first connection
+	time.Sleep(50 * time.Millisecond)
+	first.send(longReadCmd("blocker"))
+	env.waitFor("the first hand-off", func() bool { return env.actions[logic.HandOff] == 2 })
+	second.send(longReadCmd("withheld"))
+	env.waitFor("the second hand-off", func() bool { return env.actions[logic.HandOff] == 3 })
+	close(gate)
+	first.expectReply("v-blocker")
+	second.expectReply("-BUSY")
+	if withheldReceived.Load() {
+		t.Error("the worker received the hand-off, expected none")
+	}
+}
--- a/internal/sentry/hand_offs.go
+++ b/internal/sentry/hand_offs.go
@@ -55,6 +55,21 @@
 	return true
 }
 
+// mayStillSend asks the module whether a hand-off that has waited for a connection may still be written: what it was ordered
+// by may have changed. The module is called between two inputs or while the actions of one are executed, never during a
+// call.
+func (s *Sentry) mayStillSend(t *transaction, index int) bool {
+	in := input.Input{Kind: input.HandOffConnected, At: s.now, ID: t.id, HandOffNumber: index}
+	result := s.decide(&in)
+	if s.record != nil {
+		s.record(&in, &result)
+	}
+	if result.Withhold {
+		s.metrics.withheldHandOffs.Inc()
+	}
+	return !result.Withhold
+}
+
 // closeIfClientGone ends a transaction whose client has closed its connection, even if that event is still in the
 // inbox: a hand-off written now would start after the client has left.
 func (s *Sentry) closeIfClientGone(t *transaction) {
@@ -134,6 +149,14 @@
 				s.endHandOff(x.t, x.index, logic.Unsent, logic.NoLoad)
 				continue
 			}
+			if s.pickConn(w, nil) == nil {
+				break
+			}
+			if !s.mayStillSend(x.t, x.index) {
+				w.queue = w.queue[1:]
+				s.endHandOff(x.t, x.index, logic.Unsent, logic.NoLoad)
+				continue
+			}
 			if !s.sendHandOff(w, x.t, x.index) {
 				break
 			}
--- a/internal/sentry/metrics.go
+++ b/internal/sentry/metrics.go
@@ -33,7 +33,7 @@
 	clientsLeft, notTaken, overdue, protocolErrors, handOffs, dials    prometheus.Counter
 	lateEnds, fullLists, votes, messagesSent                           prometheus.Counter
 	unknownAttributes, typeMismatches, settingsLoaded, settingsRefused prometheus.Counter
-	handOffsOnOldLists, expiredHandOffs                                prometheus.Counter
+	handOffsOnOldLists, expiredHandOffs, withheldHandOffs              prometheus.Counter
 	noRoute                                                            [len(noRouteReasonNames)]prometheus.Counter
 
 	takenByProfile, outcomesByProfile *prometheus.CounterVec
@@ -82,6 +82,8 @@
 		"Workers that received a hand-off when discovery had sent no update for 4 s, counted once per worker and update.")
 	m.expiredHandOffs = counter("attempts_expired_total",
 		"Hand-offs not sent because the lease on the worker list or the deduplication window that permits them had expired.")
+	m.withheldHandOffs = counter("attempts_withheld_total",
+		"Hand-offs not sent because the conditions under which they were ordered held no more when a connection came free.")
 	m.votes = counter("votes_total", "Votes sent.")
 	m.messagesSent = counter("messages_total", "Messages sent to peers.")
 	gauge := func(name, help string, f func() float64) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,7 +22,8 @@
 //     (judgeOutcomes, judgeFleetLatency, decideVerdict).
 //
 // The types of inputs and outputs are in port.go, a sentry's state and its helpers in state.go, the decisions in
-// logic.go, the queue of transactions that no worker can take in queue.go, the rules on stale worker lists in lease.go,
+// logic.go, the queue of transactions that no worker can take in queue.go, the keys at the build on trial in trial_keys.go,
+// what must hold when a hand-off is written late in send.go, the rules on stale worker lists in lease.go,
 // and the schedule of a planned stop in drain.go.
 package logic
 
@@ -498,9 +499,7 @@
 		if !h.mayHaveRun || profile.Repeatability != Deduplicated {
 			continue
 		}
-		earlier, candidate := &s.workers[h.worker], &s.workers[w]
-		if profile.DedupScope == ScopeZone && earlier.Zone != candidate.Zone ||
-			profile.DedupScope == ScopeCell && earlier.Cell != candidate.Cell {
+		if !s.sharesDedupScope(profile, h.worker, w) {
 			return false
 		}
 	}
--- a/logic/port.go
+++ b/logic/port.go
@@ -368,6 +368,7 @@
 	Probes    []WorkerID // workers to probe; no decision asks for probes
 	Messages  []Message
 	LogLines  []string
+	Withhold  bool // of HandOffConnected: the hand-off must not be written
 	// WakeAt is when to call Sentry.Wake, 0 if no call is needed. A later call may return an earlier time. Calls of
 	// Wake at other times do no harm.
 	WakeAt Micros
--- a/logic/trial_keys_test.go
+++ b/logic/trial_keys_test.go
@@ -40,11 +40,7 @@
 	if len(workers) != 1 || !isTrialWorker(workers[0]) {
 		t.Fatalf("found hand-offs to %v, expected one to the trial", workers)
 	}
-	for counter := range h.sentry.exposedTimes {
-		for range 1000 {
-			h.sentry.exposedTimes[counter] = append(h.sentry.exposedTimes[counter], h.now)
-		}
-	}
+	h.useUpExposure()
 	return h, workers[0]
 }
 
@@ -100,11 +96,7 @@
 	h.sentry.ListReceived(h.now, ListDelta, []Worker{{ID: worker, Build: 11, Size: 1, Started: h.now}})
 	h.sentry.trialSlots = 0
 	h.sentry.exposedTimes = [][]Micros{{}, {}, {}}
-	for counter := range h.sentry.exposedTimes {
-		for range 1000 {
-			h.sentry.exposedTimes[counter] = append(h.sentry.exposedTimes[counter], h.now)
-		}
-	}
+	h.useUpExposure()
 	for i := range 5 {
 		id := fmt.Sprint("other-", i)
 		h.arrive(id, "key")
