The bytes of open requests are bounded, and shared among the clients

Cause: requests were counted, not their bytes: 1,024 open commands of 64 KiB, and as much on its way to workers; and each connection kept the largest buffer it had ever needed.

Fix: an eighth of the memory for open requests, counted with the copy that is written; a client may hold as much as it leaves free, so that few large ones leave room for many small ones; beyond it BUSY. Connections keep small buffers only.

--- a/internal/platform/client_commands.go
+++ b/internal/platform/client_commands.go
@@ -107,8 +107,10 @@
 		c.replyWithLine(id, "-ERR "+problem)
 		return
 	}
-	c.payloadBuffer = parsed.transaction.Payload
-	if !c.platform.hasReplyBudget() {
+	if c.payloadBuffer = parsed.transaction.Payload; cap(c.payloadBuffer) > maxKeptBufferBytes {
+		c.payloadBuffer = nil
+	}
+	if !c.platform.hasReplyBudget() || !c.reserveMemory(id, requestBytes(parsed.transaction.Payload)) {
 		c.replyWithLine(id, "-BUSY")
 		return
 	}
@@ -125,6 +127,22 @@
 	c.handler.TransactionReceived(&parsed.transaction)
 }
 
+// maxKeptBufferBytes bounds a buffer that a connection keeps for reuse.
+const maxKeptBufferBytes = 8 << 10
+
+// reserveMemory reserves the memory for the request of an open command, until it has its reply or the connection closes.
+// It returns false if there is none to be had.
+func (c *clientConn) reserveMemory(id uint64, bytes int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lifecycle.state == stateClosed || !c.platform.requestMemory.reserve(c.requestBytes, bytes) {
+		return false
+	}
+	c.requestBytes += bytes
+	c.replies[id-c.firstReplyID].memory = bytes
+	return true
+}
+
 // noteRequestID notes the request ID of an open command, which removeClient releases if the connection closes. It
 // returns false if the connection has closed already.
 func (c *clientConn) noteRequestID(id uint64, requestID string) bool {
--- a/internal/platform/client_replies.go
+++ b/internal/platform/client_replies.go
@@ -30,6 +30,7 @@
 // reply is the reply to one command, possibly still awaited.
 type reply struct {
 	requestID string // empty if the command is not a transaction
+	memory    int64  // reserved for the request while it is open
 	text      []byte
 	ready     bool
 	counted   bool // its size is counted as buffered on the link
@@ -48,6 +49,7 @@
 		c.mu.Unlock()
 		return
 	}
+	c.releaseMemory(r)
 	r.text = resp.AppendLine(r.text, resp.Kind(line[0]), line[1:])
 	_, finished := c.completeReply(r)
 	c.mu.Unlock()
@@ -68,6 +70,7 @@
 	}
 	r.text = appendOutcome(r.text, a)
 	requestID, size := r.requestID, len(r.text)
+	c.releaseMemory(r)
 	c.lastUsed = time.Now()
 	written, finished := c.completeReply(r)
 	closes := c.lifecycle.isReading() && c.lifecycle.openCommands == 0 && c.shouldClose()
@@ -82,6 +85,13 @@
 	return written
 }
 
+// releaseMemory gives back the memory that was reserved for the request of a reply. The caller holds c.mu.
+func (c *clientConn) releaseMemory(r *reply) {
+	c.requestBytes -= r.memory
+	c.platform.requestMemory.release(r.memory)
+	r.memory = 0
+}
+
 // appendOutcome appends a transaction's answer in the form in which the client gets it.
 func appendOutcome(text []byte, a *wire.Answer) []byte {
 	switch pb.Outcome(a.Outcome) {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -42,6 +42,7 @@
 	hasSentCommand bool      // a complete command has arrived
 	overLimit      bool      // accepted beyond the client limit: closed once it has no open commands
 	payloadBuffer  []byte    // reused by handleTransaction
+	requestBytes   int64     // memory reserved for its open requests
 	waitingSince   time.Time // since when replies have been waiting for room on the link, zero if none does
 	awaitsRoom     bool      // a goroutine passes them on as there is room
 	// progress of an idle client that has unread replies; used only on the poller
@@ -130,10 +131,12 @@
 func (p *Platform) removeClient(c *clientConn) {
 	c.mu.Lock()
 	ids := make([]string, 0, len(c.replies))
-	for _, r := range c.replies {
+	for i := range c.replies {
+		r := &c.replies[i]
 		if r.requestID != "" && !r.ready {
 			ids = append(ids, r.requestID)
 		}
+		c.releaseMemory(r)
 	}
 	c.lifecycle.close()
 	c.mu.Unlock()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -36,6 +36,7 @@
 	mu             sync.Mutex // guards clients, openRequests and meanReplyBytes
 	faultTrigger   trigger
 	replyBudget    *wire.BufferBudget // for replies that wait to be written
+	requestMemory  requestMemory      // of open requests
 	clients        map[*clientConn]struct{}
 	openRequests   map[string]struct{} // ids of open requests
 	meanReplyBytes int64               // mean size of a reply
@@ -50,6 +51,7 @@
 		clients: map[*clientConn]struct{}{}, openRequests: map[string]struct{}{}}
 	p.config.Store(config)
 	p.replyBudget = wire.NewBufferBudget(config.MemoryMB << 20 / replyMemoryDivisor)
+	p.requestMemory.max = config.MemoryMB << 20 / requestMemoryDivisor
 	p.discovery = newDiscovery(p, config.DiscoveryAddress)
 	p.controlPlane = &controlPlane{platform: p, address: config.ControlPlaneAddress, addressChanged: make(chan struct{}, 1)}
 	var err error
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -109,7 +109,7 @@
 		return false
 	}
 	w.pending = append(w.pending, sentHandOff{work.ID, w.PutOffset()})
-	if cap(w.buffer) > 8<<10 {
+	if cap(w.buffer) > maxKeptBufferBytes {
 		w.buffer = nil
 	}
 	return true
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -172,15 +172,23 @@
 		l.Close(err)
 		return err
 	}
-	if len(rest) > 0 && len(l.partial) > 0 && &rest[0] == &l.partial[0] {
+	l.keepPartial(rest)
+	return r.Release()
+}
+
+// maxKeptBytes bounds a buffer that a link keeps for reuse. A process has hundreds of links.
+const maxKeptBytes = 16 << 10
+
+// keepPartial keeps the bytes of an incomplete message, in memory of about their size.
+func (l *Link) keepPartial(rest []byte) {
+	switch {
+	case len(rest) > 0 && len(l.partial) > 0 && &rest[0] == &l.partial[0]:
 		l.partial = l.partial[:len(rest)]
-	} else {
+	case cap(l.partial) > maxKeptBytes && len(rest) < cap(l.partial)/2:
+		l.partial = append([]byte(nil), rest...)
+	default:
 		l.partial = append(l.partial[:0], rest...)
 	}
-	if len(rest) == 0 && cap(l.partial) > 64<<10 {
-		l.partial = nil
-	}
-	return r.Release()
 }
 
 // enqueue lets encode append to the bytes that wait to be written. Without unbounded, it refuses once more than maxPending
@@ -304,7 +312,7 @@
 		l.mu.Unlock()
 		err := l.sendAll(out)
 		l.mu.Lock()
-		if cap(out) <= 256<<10 {
+		if cap(out) <= maxKeptBytes {
 			l.reusable = out[:0]
 		}
 		l.writeFailed = err != nil
