A release status that is older than the last one is not taken

Fix: a release goes through stages and phases in one order; a status that is older by it is not taken, but for a lower cap of the same build, since the cap told last binds. A build that rolls back gets nothing again by an older status.

Evidence: TestOlderReleaseStatusIsIgnored fails before; go test ./logic passes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -767,7 +767,14 @@
 			s.lastVoteAt = 0
 			s.nextVoteAt = s.now + second/4 + Micros(s.random.Int63n(int64(second)/2))
 		}
-		if status.Valid {
+		switch {
+		case !status.Valid:
+		case status.isOlderThan(s.release):
+			if status.Build == s.release.Build { // the cap that was told last binds; all else of it is out of date
+				s.release.Cap = min(s.release.Cap, status.Cap)
+				s.refreshBuilds()
+			}
+		default:
 			if status.Build != s.release.Build || !s.release.Valid {
 				s.startTrial()
 			}
--- a/logic/state.go
+++ b/logic/state.go
@@ -199,6 +199,21 @@
 	return s
 }
 
+// isOlderThan reports whether a release has passed the state of this status before it reached the other one. Statuses may
+// arrive in another order: the answer to a vote brings the present one while an earlier one is on its way.
+func (status ReleaseStatus) isOlderThan(other ReleaseStatus) bool {
+	if !other.Valid || status.Build != other.Build {
+		return other.Valid && status.Build < other.Build
+	}
+	if status.Phase == OnTrial && other.Phase == OnTrial {
+		return status.Stage < other.Stage
+	}
+	return slices.Index(phaseOrder, status.Phase) < slices.Index(phaseOrder, other.Phase)
+}
+
+// phaseOrder is the order in which a release goes through its phases. It may leave out some, and goes back to none.
+var phaseOrder = []Phase{OnTrial, Released, RollingBack, Withdrawn}
+
 // buildWorkers is the ready workers of a build, and the subset of them that this sentry uses.
 type buildWorkers struct {
 	ready      []int   // in this sentry's order, ejected workers last
