A labelled request is deferred only if the client comes again within its window

Cause: giveUp looked at the scope of the deduplication, not at its window.

Fix: clientMayRetry; such a request is deferred only if the named time to come again lies within the window, else written off.

Evidence: TestDeferralWithinDedupWindow fails before (deferred 360 and 900 ms after the hand-off, window 600 ms, to come after 250 ms).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -323,14 +323,12 @@
 // otherwise.
 func (s *Sentry) giveUp(t *transaction) bool {
 	profile := t.profile
-	mayHaveRun := slices.ContainsFunc(t.handOffs, func(h handOff) bool { return h.mayHaveRun })
-	action := Action{Kind: WriteOff, Transaction: t.ID}
-	if !mayHaveRun || profile.Repeatability == Idempotent ||
-		profile.Repeatability == Deduplicated && profile.DedupScope == ScopeAll {
-		action.Kind = Defer
-		if s.config.MayNameRetryAfter {
-			action.RetryAfter = min(profile.DueTime/2, s.config.MaxRetryAfter)
-		}
+	action, retryAfter := Action{Kind: WriteOff, Transaction: t.ID}, Micros(0)
+	if s.config.MayNameRetryAfter {
+		retryAfter = min(profile.DueTime/2, s.config.MaxRetryAfter)
+	}
+	if s.clientMayRetry(t, s.now+retryAfter) {
+		action.Kind, action.RetryAfter = Defer, retryAfter
 	}
 	s.result.Actions = append(s.result.Actions, action)
 	s.givenUp[t.Key]++
@@ -343,6 +341,21 @@
 	return false
 }
 
+// clientMayRetry reports whether it is harmless that a client sends a transaction again at a time, whichever worker gets
+// it then.
+func (s *Sentry) clientMayRetry(t *transaction, at Micros) bool {
+	if !slices.ContainsFunc(t.handOffs, func(h handOff) bool { return h.mayHaveRun }) {
+		return true
+	}
+	switch t.profile.Repeatability {
+	case Idempotent:
+		return true
+	case Deduplicated:
+		return t.profile.DedupScope == ScopeAll && at < t.dedupUntil(s.config.TimerGranularity)
+	}
+	return false
+}
+
 // pickWorker chooses a worker of the earlier build unless assignBuild has chosen one of the trial.
 func (s *Sentry) pickWorker(t *transaction) bool {
 	if t.worker < 0 {
