A connection in its cooldown is not replaced by another to make room

Cause: at the bound, hand-offs that wait had an idle connection closed and another dialed. A connection in its cooldown counts as idle, so each answer was followed by a close and a dial; the worker saw the new connection before the end of the old one. A new connection costs the worker work.

Fix: only a connection out of its cooldown whose own worker has nothing waiting is replaced; a timer looks again when the first cooldown ends.

--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -45,31 +45,32 @@
 	listWrites    sync.WaitGroup // of the worker list's file
 
 	// The fields below are accessed by the event loop only.
-	decide           func(*input.Input) logic.Result
-	now              logic.Micros  // time of the current event or timer
-	pendingInputs    []input.Input // inputs to deliver, while delivering
-	delivering       bool
-	result           logic.Result // of the current input; a local variable would be allocated on the heap for each input
-	wakeAt           logic.Micros // when the module wants its next TimerFired input; 0 if it wants none
-	timers           timerHeap
-	transactions     map[logic.TransactionID]*transaction // open, or with open hand-offs
-	openCount        int                                  // transactions without a final answer whose client has not left
-	transactionSeq   uint64
-	idPrefix         string         // makes the transaction ids of this run distinct from those of other runs
-	freeTransactions []*transaction // for reuse
-	unflushed        []flusher      // connections with buffered output
-	workers          map[logic.WorkerID]*worker
-	conns            []*pooledConn // in the order in which they were established
-	dials            int           // connections being opened
-	blockedWorkers   []*worker     // whose queued hand-offs need a connection beyond the bounds, in the order in which they met them
-	workerList       workerList
-	discovery        *upstream
-	controlPlane     *upstream
-	peers            []*upstream     // by position; nil for a sentry without an address
-	pendingVotes     map[uint64]bool // sent, not answered and not timed out, by the vote's id
-	voteSeq          uint64
-	listSeq          uint64       // changes with each list request and answer: timers of earlier requests then no longer apply
-	listConfirmedAt  logic.Micros // when discovery last sent an update of the list; at first, when the sentry started
+	decide              func(*input.Input) logic.Result
+	now                 logic.Micros  // time of the current event or timer
+	pendingInputs       []input.Input // inputs to deliver, while delivering
+	delivering          bool
+	result              logic.Result // of the current input; a local variable would be allocated on the heap for each input
+	wakeAt              logic.Micros // when the module wants its next TimerFired input; 0 if it wants none
+	timers              timerHeap
+	transactions        map[logic.TransactionID]*transaction // open, or with open hand-offs
+	openCount           int                                  // transactions without a final answer whose client has not left
+	transactionSeq      uint64
+	idPrefix            string         // makes the transaction ids of this run distinct from those of other runs
+	freeTransactions    []*transaction // for reuse
+	unflushed           []flusher      // connections with buffered output
+	workers             map[logic.WorkerID]*worker
+	dialBlockedTimerDue logic.Micros  // when the timer for blockedWorkers is due, 0 if none is set
+	conns               []*pooledConn // in the order in which they were established
+	dials               int           // connections being opened
+	blockedWorkers      []*worker     // whose queued hand-offs need a connection beyond the bounds, in the order in which they met them
+	workerList          workerList
+	discovery           *upstream
+	controlPlane        *upstream
+	peers               []*upstream     // by position; nil for a sentry without an address
+	pendingVotes        map[uint64]bool // sent, not answered and not timed out, by the vote's id
+	voteSeq             uint64
+	listSeq             uint64       // changes with each list request and answer: timers of earlier requests then no longer apply
+	listConfirmedAt     logic.Micros // when discovery last sent an update of the list; at first, when the sentry started
 	// the value of listConfirmedAt for which a hand-off on an old list was last logged at level info
 	oldListLoggedFor logic.Micros
 	stopping         bool
@@ -316,6 +317,9 @@
 		s.sweep()
 	case timerSave:
 		s.save()
+	case timerDialBlocked:
+		s.dialBlockedTimerDue = 0
+		s.dialBlocked()
 	case timerCooldownEnd:
 		t.worker.cooldownTimerDue = 0
 		s.sendQueued(t.worker)
--- a/internal/sentry/timers.go
+++ b/internal/sentry/timers.go
@@ -14,6 +14,7 @@
 	timerSweep
 	timerSave
 	timerCooldownEnd // the cooldown of a connection to a worker has ended
+	timerDialBlocked // a connection may be replaced: see Sentry.blockedWorkers
 )
 
 // timer is an entry of the timer heap. A transaction has one timer at most, which is moved when its next deadline
--- a/internal/sentry/upstream.go
+++ b/internal/sentry/upstream.go
@@ -221,7 +221,7 @@
 			old := w.conns
 			w.address, w.conns = address, nil
 			for _, c := range old {
-				if c.isClosable() {
+				if c.isUnused() {
 					c.link.Close(wire.ErrClosed)
 					s.dropConn(c)
 				}
--- a/internal/sentry/worker_pool.go
+++ b/internal/sentry/worker_pool.go
@@ -47,15 +47,20 @@
 	return 0
 }
 
-// scheduleCooldownEnd sets a timer that sends a worker's queued hand-offs when the first cooldown of its connections
-// ends. It reports whether any of its connections is in its cooldown.
-func (s *Sentry) scheduleCooldownEnd(w *worker) (scheduled bool) {
-	earliest := logic.Micros(0)
-	for _, c := range w.conns {
+// earliestCooldownEnd returns when the first cooldown of some connections ends, 0 if none is in its cooldown.
+func (s *Sentry) earliestCooldownEnd(conns []*pooledConn) (earliest logic.Micros) {
+	for _, c := range conns {
 		if until := s.cooldownUntil(c); until > 0 && !c.closed && (earliest == 0 || until < earliest) {
 			earliest = until
 		}
 	}
+	return earliest
+}
+
+// scheduleCooldownEnd sets a timer that sends a worker's queued hand-offs when the first cooldown of its connections
+// ends. It reports whether any of its connections is in its cooldown.
+func (s *Sentry) scheduleCooldownEnd(w *worker) (scheduled bool) {
+	earliest := s.earliestCooldownEnd(w.conns)
 	if earliest > 0 && earliest != w.cooldownTimerDue {
 		w.cooldownTimerDue = earliest
 		s.timers.add(timer{due: earliest, kind: timerCooldownEnd, worker: w})
@@ -63,6 +68,14 @@
 	return earliest > 0
 }
 
+// scheduleDialBlocked sets a timer for the end of the first cooldown of any connection, which may be replaced then.
+func (s *Sentry) scheduleDialBlocked() {
+	if earliest := s.earliestCooldownEnd(s.conns); earliest > 0 && earliest != s.dialBlockedTimerDue {
+		s.dialBlockedTimerDue = earliest
+		s.timers.add(timer{due: earliest, kind: timerDialBlocked})
+	}
+}
+
 // pickConn returns the connection with the fewest open hand-offs that has a free slot, is not in its cooldown and was not
 // tried yet. Among equals it returns the one unused for longest: the worker may be about to close a connection after its
 // last answer.
@@ -102,11 +115,17 @@
 func (s *Sentry) mayDial(w *worker) bool {
 	b := &s.settings.Bounds
 	return w.dials+len(w.conns) < b.ConnectionsPerWorker &&
-		(b.WorkerConnections == 0 || len(s.conns)+s.dials < b.WorkerConnections || slices.ContainsFunc(s.conns, (*pooledConn).isClosable))
+		(b.WorkerConnections == 0 || len(s.conns)+s.dials < b.WorkerConnections || slices.ContainsFunc(s.conns, s.isReplaceable))
 }
 
-// isClosable reports whether a connection may be closed to make room for another.
-func (c *pooledConn) isClosable() bool { return c.ready && c.isIdle() }
+// isUnused reports whether a connection carries nothing and may be closed.
+func (c *pooledConn) isUnused() bool { return c.ready && c.isIdle() }
+
+// isReplaceable reports whether a connection may be closed to make room for another: its own worker has no use for it. One
+// in its cooldown is about to be used again, and a new connection costs more than the rest of the cooldown.
+func (s *Sentry) isReplaceable(c *pooledConn) bool {
+	return c.isUnused() && len(c.worker.queue) == 0 && s.cooldownUntil(c) == 0
+}
 
 // dial opens a connection for the queued hand-offs of a worker, unless enough connections are being dialed, or are in a
 // cooldown that ends well before the hand-offs' deadlines, or the bounds allow no further connection.
@@ -131,6 +150,7 @@
 		if !slices.Contains(s.blockedWorkers, w) {
 			s.blockedWorkers = append(s.blockedWorkers, w)
 		}
+		s.scheduleDialBlocked()
 		return
 	}
 	limit := s.settings.Bounds.WorkerConnections
@@ -150,7 +170,7 @@
 }
 
 // dialBlocked opens connections for the workers that the bounds kept from it, as far as the bounds now allow. It is called
-// when a connection has closed or has no open hand-offs any more.
+// when a connection has closed, has no open hand-offs any more, or has ended its cooldown.
 func (s *Sentry) dialBlocked() {
 	blocked := s.blockedWorkers
 	s.blockedWorkers = nil
@@ -163,7 +183,7 @@
 func (s *Sentry) closeLongestIdle() {
 	var longest *pooledConn
 	for _, c := range s.conns {
-		if c.isClosable() && (longest == nil || c.lastUsed < longest.lastUsed) {
+		if s.isReplaceable(c) && (longest == nil || c.lastUsed < longest.lastUsed) {
 			longest = c
 		}
 	}
@@ -281,7 +301,7 @@
 // Bounds.IdleTimeoutDivisor.
 func (s *Sentry) closeIdleConns() {
 	for _, c := range slices.Clone(s.conns) {
-		if c.isClosable() && s.now-c.lastUsed >= s.config.IdleTimeout/logic.Micros(max(1, s.settings.Bounds.IdleTimeoutDivisor)) {
+		if c.isUnused() && s.now-c.lastUsed >= s.config.IdleTimeout/logic.Micros(max(1, s.settings.Bounds.IdleTimeoutDivisor)) {
 			c.link.Close(wire.ErrClosed)
 			s.dropConn(c)
 		}
