--- a/cmd/scalechute/soak_test.go
+++ b/cmd/scalechute/soak_test.go
@@ -66,9 +66,11 @@
 
 // TestTroubleSoak runs plans in which servers and network fail: second copies of answers, lost answers and late resets while
 // all connections to servers are in use, servers that hold few connections, a build on trial whose keys must not go back, and
-// clients that send as many of the largest requests as they can.
+// clients that send as many of the largest requests as they can. Each of the review's faults, put back, showed in one of these
+// seeds: foreign values in 8, 9 and 19, a run after the window in 19, a key that goes back in 9, and memory in 34, which a
+// build with the race detector does not check.
 func TestTroubleSoak(t *testing.T) {
-	for _, seed := range []uint64{3, 5, 9, 11} {
+	for _, seed := range []uint64{8, 9, 19, 34} {
 		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
 			runSoak(t, soak.TroublePlan(seed))
 		})
