A labelled request whose answer is lost is sent again while its window lasts

And the answer had been overdue for 0.85 s before anything was done.

Fix: the window begins with the write; what must be written first goes first in a worker's queue; an unsent retry gives its budget back; and an overdue hand-off of a labelled request is cancelled once half of the window is over, where cancelling is allowed and hedges are not, within the retry budget.

--- a/internal/sentry/hand_offs.go
+++ b/internal/sentry/hand_offs.go
@@ -1,6 +1,8 @@
 package sentry
 
 import (
+	"slices"
+
 	"github.com/rs/zerolog"
 
 	"scalechute/internal/input"
@@ -21,6 +23,21 @@
 // isOpen reports whether the hand-off has not ended.
 func (w queuedHandOff) isOpen() bool { return w.t.gen == w.gen && !w.t.handOffs[w.index].ended }
 
+// enqueue adds a hand-off to those that wait for a connection. One that must be written sooner goes first: a retry whose
+// deduplication window is about to end has milliseconds, the others have seconds.
+func (w *worker) enqueue(added queuedHandOff) {
+	sendBy := added.t.handOffs[added.index].sendBy
+	isLater := func(x queuedHandOff) bool {
+		other := x.t.handOffs[x.index].sendBy
+		return sendBy > 0 && (other == 0 || other > sendBy)
+	}
+	position := len(w.queue)
+	for position > 0 && (!w.queue[position-1].isOpen() || isLater(w.queue[position-1])) {
+		position--
+	}
+	w.queue = slices.Insert(w.queue, position, added)
+}
+
 // handOff executes a hand-off that the module has ordered. One that cannot be sent ends at once as unsent: it is proven
 // not to have run.
 func (s *Sentry) handOff(t *transaction, action *logic.Action) {
@@ -38,7 +55,7 @@
 	}
 	h.connectBy = s.now + s.config.ConnectTimeout
 	if !s.sendHandOff(w, t, index) {
-		w.queue = append(w.queue, queuedHandOff{t, t.gen, index})
+		w.enqueue(queuedHandOff{t, t.gen, index})
 		s.dial(w)
 		s.scheduleCooldownEnd(w)
 		s.setTimer(t)
--- a/logic/dedup_window_test.go
+++ b/logic/dedup_window_test.go
@@ -53,3 +53,54 @@
 		}
 	}
 }
+
+// Guards against a deduplicated transaction being lost with an answer that never comes: its connection breaks only after the
+// window, when the transaction may not be sent again. Once it is overdue and half of the window is over, the hand-off is
+// cancelled for a retry, unless there is no budget for one.
+func TestOverdueHandOffIsRetriedWithinDedupWindow(t *testing.T) {
+	for budget, wantCancel := range map[float64]bool{maxRetryBudget: true, 0: false} {
+		h := newTrialHarness(8, 0)
+		config := &h.sentry.config
+		config.MaxHandOffs, config.MayHedge, config.MayCancel = 2, false, true
+		config.Profiles = append(config.Profiles, Profile{DueTime: second / 2, MaxDeadline: 3 * second, Value: 1,
+			Repeatability: Deduplicated, DedupWindow: 3 * second / 2})
+		h.sentry.applyConfig(*config)
+		h.record(h.sentry.TransactionArrived(h.now, Transaction{ID: "a", Profile: 2, Account: NoAccount, Deadline: h.now + 3*second}))
+		h.sentry.retryBudget = budget
+		started, cancelledAt := h.now, Micros(0)
+		for h.now < started+3*second/2 && cancelledAt == 0 {
+			h.now += 10_000
+			h.record(h.sentry.Wake(h.now))
+			for _, action := range h.lastResult.Actions {
+				if action.Kind == CancelHandOff {
+					cancelledAt = h.now - started
+				}
+			}
+		}
+		if cancelled := cancelledAt > 0; cancelled != wantCancel {
+			t.Errorf("with a retry budget of %v: cancelled after %d us, expected a cancellation: %v", budget, cancelledAt, wantCancel)
+		}
+		if wantCancel && (cancelledAt < 750_000 || cancelledAt > 900_000) {
+			t.Errorf("cancelled after %d us, expected half of the window of 1.5 s", cancelledAt)
+		}
+	}
+}
+
+// Guards against retries that were never written using up the retry budget.
+func TestUnsentRetryCostsNoBudget(t *testing.T) {
+	h := newTrialHarness(8, 0)
+	h.sentry.config.MaxHandOffs, h.sentry.config.MayHedge = 2, false
+	h.arrive("a", "key")
+	h.sentry.retryBudget = 2
+	worker := h.handOffs("a")[0]
+	h.now += second / 10
+	h.end("a", 0, worker, Broken)
+	retry := h.handOffs("a")
+	if len(retry) != 1 || h.sentry.retryBudget != 1 {
+		t.Fatalf("found hand-offs to %v and a budget of %v, expected a retry that costs 1", retry, h.sentry.retryBudget)
+	}
+	h.end("a", 1, retry[0], Unsent)
+	if h.sentry.retryBudget != 2 {
+		t.Errorf("found a budget of %v after the retry ended unsent, expected 2", h.sentry.retryBudget)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -524,7 +524,7 @@
 func (s *Sentry) handOff(t *transaction) bool {
 	w, profile := t.worker, t.profile
 	sendBy := earliestLimit(s.sendBy(w), t.dedupUntil(s.config.TimerGranularity))
-	h := handOff{worker: w, build: s.workers[w].Build, sentAt: s.now, mayHaveRun: true,
+	h := handOff{worker: w, build: s.workers[w].Build, sentAt: s.now, writtenAt: s.now, mayHaveRun: true,
 		newConnection: !s.likelyConnected(w)}
 	h.timingInvalid = h.newConnection
 	t.handOffs = append(t.handOffs, h)
@@ -554,13 +554,21 @@
 // either: they are snapshots that are older than the latest hand-offs.
 func (s *Sentry) answerLost(w int, sentAt Micros) bool { return s.answeredSentTimes[w][0] > sentAt }
 
+// dedupWindowRunsOut reports whether a hand-off of a deduplicated transaction is overdue, and half of the window is over in
+// which the transaction may be sent again: its answer is too late already, and a retry still has time to find a connection.
+// It guards against lost answers that show only when the connection breaks, after the window. It can do harm where many
+// answers are overdue; the retry budget bounds that.
+func (s *Sentry) dedupWindowRunsOut(t *transaction, h *handOff) bool {
+	return t.profile.Repeatability == Deduplicated && s.now >= h.writtenAt+max(t.profile.DueTime, t.profile.DedupWindow/2)
+}
+
 // cancelIfLost cancels a hand-off that takes suspiciously long and seems lost, if the transaction may be sent again.
 // It does harm if the hand-off merely takes very long: the transaction then runs twice.
 func (s *Sentry) cancelIfLost(t *transaction) {
 	number := len(t.handOffs) - 1
 	switch h := &t.handOffs[number]; {
 	case h.ended || !s.mayRetry(t):
-	case s.answerLost(h.worker, h.sentAt):
+	case s.answerLost(h.worker, h.sentAt) || s.dedupWindowRunsOut(t, h):
 		s.result.Actions = append(s.result.Actions, Action{Kind: CancelHandOff, Transaction: t.ID, HandOffNumber: number})
 	default:
 		s.wakeUp(s.now+t.profile.DueTime/8, t)
@@ -589,7 +597,7 @@
 	}
 	for i := range t.handOffs {
 		if h := &t.handOffs[i]; h.mayHaveRun {
-			until = earliestLimit(until, max(1, h.sentAt+t.profile.DedupWindow-granularity))
+			until = earliestLimit(until, max(1, h.writtenAt+t.profile.DedupWindow-granularity))
 		}
 	}
 	return until
@@ -620,6 +628,9 @@
 // closeOrRetry closes the transaction or hands it off again. A retry costs retry budget unless the hand-off failed
 // fast. After a hand-off that found no connection, a retry is made even if no budget is left.
 func (s *Sentry) closeOrRetry(t *transaction, h *handOff) {
+	if h.end.Ending == Unsent && len(t.handOffs) > 1 { // a retry or hedge that no worker got costs nothing
+		s.retryBudget = min(s.retryBudget+1, maxRetryBudget)
+	}
 	switch {
 	case t.closed:
 		s.cancelOpenHandOffs(t)
--- a/logic/send.go
+++ b/logic/send.go
@@ -7,11 +7,14 @@
 
 // HandOffConnected takes that a connection has come free for a hand-off that had to wait for one. Result.Withhold says that
 // it must not be written any more; the caller then ends it as Unsent. Otherwise it counts from now on, not from when
-// it was ordered, against the bounds on exposure and on the load of a cold worker. The Result holds nothing else to do.
+// it was ordered, against the bounds on exposure and on the load of a cold worker, and its deduplication window begins. The Result holds nothing else to do.
 func (s *Sentry) HandOffConnected(now Micros, id TransactionID, number int) Result {
 	s.now = max(s.now, now)
 	t := s.openTransactions[id]
 	withhold := t == nil || number < 0 || number >= len(t.handOffs) || !s.mayStillSend(t, &t.handOffs[number])
+	if !withhold {
+		t.handOffs[number].writtenAt = s.now
+	}
 	return Result{Withhold: withhold, WakeAt: s.nextWake()}
 }
 
@@ -35,7 +38,7 @@
 		if other == h || !other.mayHaveRun {
 			continue
 		}
-		if s.now >= other.sentAt+t.profile.DedupWindow-s.config.TimerGranularity || !s.sharesDedupScope(t.profile, other.worker, h.worker) {
+		if s.now >= other.writtenAt+t.profile.DedupWindow-s.config.TimerGranularity || !s.sharesDedupScope(t.profile, other.worker, h.worker) {
 			return false
 		}
 	}
--- a/logic/send_test.go
+++ b/logic/send_test.go
@@ -104,6 +104,30 @@
 	}
 }
 
+// Guards against a retry being given up although the workers still remember the transaction: the window of a hand-off that
+// waited for a connection begins when it is written.
+func TestDedupWindowBeginsWithTheWrite(t *testing.T) {
+	h := newTrialHarness(8, 0)
+	const window, waited = 600_000, 200_000
+	config := &h.sentry.config
+	config.MaxHandOffs, config.MayHedge, h.sentry.retryBudget = 2, false, maxRetryBudget
+	config.Profiles = append(config.Profiles, Profile{DueTime: second / 2, MaxDeadline: 2 * second, Value: 1,
+		Repeatability: Deduplicated, DedupWindow: window})
+	h.sentry.applyConfig(*config)
+	h.record(h.sentry.TransactionArrived(h.now, Transaction{ID: "a", Profile: 2, Account: NoAccount, Deadline: h.now + 2*second}))
+	worker := h.handOffs("a")[0]
+	h.now += waited
+	if h.sentry.HandOffConnected(h.now, "a", 0).Withhold {
+		t.Fatal("the hand-off is withheld, expected it to be written")
+	}
+	want := h.now + window - config.TimerGranularity
+	h.now += window - 2*config.TimerGranularity
+	h.end("a", 0, worker, Broken)
+	if got := h.lastResult.Actions; len(got) != 1 || got[0].Kind != HandOff || got[0].SendBy != want {
+		t.Errorf("found %+v, expected a retry that may be sent until %d", got, want)
+	}
+}
+
 // orderStep is an event in the orders that TestForwardOnlyInEveryOrder plays.
 type orderStep int
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -17,6 +17,7 @@
 	worker        int
 	build         BuildID
 	sentAt        Micros
+	writtenAt     Micros // later than sentAt if it had to wait for a connection
 	ended         bool
 	newConnection bool // as far as is known, no connection to the worker was open
 	timingInvalid bool // the duration says nothing: a connection had to be opened, or the process was stalled
