--- a/cmd/scalechute/memory_test.go
+++ b/cmd/scalechute/memory_test.go
@@ -131,8 +131,11 @@
 			in := bufio.NewReader(conn)
 			for i := 0; time.Now().Before(end); i++ {
 				sent.Add(1)
-				if strings.HasPrefix(sendRequest(conn, in, fmt.Sprintf("usual-%d-%d", n, i)), "$") {
+				started := time.Now()
+				if reply := sendRequest(conn, in, fmt.Sprintf("usual-%d-%d", n, i)); strings.HasPrefix(reply, "$") {
 					served.Add(1)
+				} else {
+					t.Logf("usual request %d-%d: %.40q after %v", n, i, reply, time.Since(started))
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
