Review case 6: an attempt that was given up runs when a cut is over

While the sentry's site is cut off for 6 s, attempts on open connections are given up by an ordinary close, which leaves the system sending them.

--- /dev/null
+++ b/review/stand/remainder.go
@@ -0,0 +1,261 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+func init() { cases["remainder"] = caseRemainder }
+
+// group is a group of workers that drop a repeat of a labelled request for a time.
+type group struct {
+	window time.Duration
+
+	mu   sync.Mutex
+	runs map[string][]run // by label
+}
+
+// run is an attempt that a worker has had whole.
+type run struct {
+	worker  string
+	at      time.Time
+	dropped bool // as a repeat
+}
+
+// begin notes an attempt, and reports whether it is dropped as a repeat.
+func (g *group) begin(worker, label string) (dropped bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x := run{worker: worker, at: time.Now()}
+	for _, before := range g.runs[label] {
+		x.dropped = x.dropped || !before.dropped && x.at.Sub(before.at) < g.window
+	}
+	g.runs[label] = append(g.runs[label], x)
+	return x.dropped
+}
+
+// site is where workers are that can be cut off. Connections to its workers lead through a proxy that takes little
+// before it passes it on. While it is cut off the proxy takes nothing from either side and passes on nothing: what a side
+// has sent lies in that side's machine, but for what the proxy's small buffer had room for. New connections are refused.
+type site struct {
+	mu    sync.Mutex
+	back  *sync.Cond
+	isCut bool
+	doors []*door
+}
+
+// door is where the connections to one worker of a site come in.
+type door struct {
+	address, to string
+	listener    net.Listener
+}
+
+// smallBuffer is the proxy's receive buffer in bytes; the system doubles it.
+const smallBuffer = 4 << 10
+
+func listenSmall(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer) })
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+func newSite() *site {
+	s := &site{}
+	s.back = sync.NewCond(&s.mu)
+	return s
+}
+
+// add opens a door to a worker and returns its address.
+func (s *site) add(to string) net.Listener {
+	l, err := listenSmall(ownHost + ":0")
+	if err != nil {
+		cannotRun(err)
+	}
+	d := &door{address: l.Addr().String(), to: to, listener: l}
+	s.doors = append(s.doors, d)
+	go s.serve(d, l)
+	return l
+}
+
+func (s *site) serve(d *door, l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		w, err := net.Dial("tcp", d.to)
+		if err != nil {
+			c.Close()
+			continue
+		}
+		w.(*net.TCPConn).SetReadBuffer(smallBuffer)
+		go s.pass(c.(*net.TCPConn), w.(*net.TCPConn))
+		go s.pass(w.(*net.TCPConn), c.(*net.TCPConn))
+	}
+}
+
+// pass passes on what comes from one side, and its end.
+func (s *site) pass(from, to *net.TCPConn) {
+	for buffer := make([]byte, 1<<10); ; {
+		s.wait()
+		n, err := from.Read(buffer)
+		s.wait()
+		to.Write(buffer[:n])
+		switch {
+		case err == io.EOF:
+			to.CloseWrite()
+			return
+		case err != nil:
+			to.SetLinger(0)
+			to.Close()
+			return
+		}
+	}
+}
+
+// wait waits while the site is cut off.
+func (s *site) wait() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.isCut {
+		s.back.Wait()
+	}
+}
+
+// cut cuts the site off for a time.
+func (s *site) cut(length time.Duration) {
+	s.mu.Lock()
+	s.isCut = true
+	s.mu.Unlock()
+	for _, d := range s.doors {
+		d.listener.Close()
+	}
+	time.AfterFunc(length, func() {
+		for _, d := range s.doors {
+			l, err := listenSmall(d.address)
+			if err != nil {
+				cannotRun(err)
+			}
+			d.listener = l
+			go s.serve(d, l)
+		}
+		s.mu.Lock()
+		s.isCut = false
+		s.back.Broadcast()
+		s.mu.Unlock()
+	})
+}
+
+// caseRemainder: the sentry's site, with five of fifteen workers, is cut off from the two others for 6 s. Labelled requests have bodies of 32 KiB. No attempt may come
+// to a worker whole later than the workers remember the label.
+func caseRemainder(r *record, trouble bool) bool {
+	const (
+		window  = 1500 * time.Millisecond
+		slack   = 200 * time.Millisecond // 50 ms of the rules on sockets, and 150 ms for a sentry that is held up
+		cutTime = 6 * time.Second
+	)
+	g := &group{window: window, runs: map[string][]run{}}
+	zones, there := []string{"kingston", "mandeville", "may-pen"}, newSite()
+	list := []*worker{}
+	for i := range 15 {
+		w := startWorker(fmt.Sprint("s-", i), releasedBuild, nil)
+		w.answer = func(a *attempt) string {
+			dropped := g.begin(w.name, a.facts["k"])
+			if dropped {
+				r.line("%s drops request %s as a repeat", w.name, a.id)
+			}
+			time.Sleep(30 * time.Millisecond)
+			return served("v-" + a.id)
+		}
+		if w.zone = zones[i%3]; i%3 != 0 {
+			w.listener = there.add(w.listener.Addr().String())
+		}
+		list = append(list, w)
+	}
+	d := startDiscovery(r, list...)
+	p := startPlatform(r, "41 3 Healthy 1 60000", func([]string) (string, time.Duration) { return "ERR out_of_date", 100 * time.Millisecond })
+	s := newSentry(r)
+	set := settings()
+	set["azs"] = zones
+	s.configure(setup{settings: set, discovery: d.address, platform: p.address, known: d.known(), news: releasedNews()})
+	s.start()
+	s.waitReady()
+	until := time.Now().Add(14 * time.Second)
+	body := strings.Repeat("y", 32<<10)
+	var clients sync.WaitGroup
+	var good, other atomic.Int64
+	for i := range 20 {
+		clients.Go(func() {
+			labelled(s, i, 200*time.Millisecond, until, body, func(id string, a reply, took time.Duration) {
+				if a.kind == '$' {
+					good.Add(1)
+				} else {
+					other.Add(1)
+				}
+				r.line("request %s is answered with %c after %.3f s", id, a.kind, took.Seconds())
+			})
+		})
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		r.line("kingston is cut off from the other sites for %v", cutTime)
+		there.cut(cutTime)
+	}
+	clients.Wait()
+	time.Sleep(500 * time.Millisecond)
+	s.copyLog(6)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	twice := 0
+	for label, runs := range g.runs {
+		for i, x := range runs {
+			for _, before := range runs[:i] {
+				if after := x.at.Sub(before.at); !before.dropped && !x.dropped && after > window+slack {
+					twice++
+					r.line("BREAK: label %s: %s has it whole %.3f s after %s, and runs it again", label, x.worker, after.Seconds(), before.worker)
+				}
+			}
+		}
+	}
+	r.line("labels %d; served %d, not served %d; run twice %d", len(g.runs), good.Load(), other.Load(), twice)
+	return twice == 0
+}
+
+// labelled runs a client as usual does, with labelled requests that have a body, and pauses of up to a length.
+func labelled(s *sentry, client int, pause time.Duration, until time.Time, body string, note func(id string, a reply, took time.Duration)) {
+	var c net.Conn
+	var in *bufio.Reader
+	for n := 0; time.Now().Before(until); n++ {
+		time.Sleep(time.Duration(rand.Int63n(int64(pause))))
+		if c == nil {
+			var err error
+			if c, err = net.DialTimeout("tcp", s.address, time.Second); err != nil {
+				c = nil
+				continue
+			}
+			in = bufio.NewReader(c)
+		}
+		id, sent := fmt.Sprintf("a%07x%08x", client, n), time.Now()
+		c.SetDeadline(sent.Add(3050 * time.Millisecond))
+		io.WriteString(c, encode("Q.DO", fmt.Sprintf("%016x", client*1000+n%500), id, "c=excursion,t=seabreeze-fish,d=2500,k="+id, body))
+		a := readReply(in)
+		note(id, a, time.Since(sent))
+		if a.kind == 0 {
+			c.Close()
+			c = nil
+		}
+	}
+	if c != nil {
+		c.Close()
+	}
+}
