--- a/review/stand/votes.go
+++ b/review/stand/votes.go
@@ -43,7 +43,7 @@
 	begin := time.Now()
 	var p *platform
 	var changed atomic.Bool
-	var written atomic.Int64 // when the answer that tells the change was written, in Unix nanoseconds
+	var written atomic.Pointer[time.Time] // when the answer that tells the change was written
 	p = startPlatform(r, before+"500", func(words []string) (string, time.Duration) {
 		r.line("vote: %v", words)
 		switch {
@@ -51,7 +51,10 @@
 			return "ERR too_many_calls", 100 * time.Millisecond
 		case changed.CompareAndSwap(false, true):
 			r.line("the vote counts; another sentry's vote sends the build back")
-			time.AfterFunc(answerDelay, func() { written.Store(time.Now().UnixNano()) })
+			time.AfterFunc(answerDelay, func() {
+				now := time.Now()
+				written.Store(&now)
+			})
 			time.AfterFunc(newsDelay, func() { p.tell(after + "6500") })
 			return "OK " + after + "50", answerDelay
 		}
@@ -78,14 +81,14 @@
 	group.Wait()
 	s.copyLog(6)
 	told := written.Load()
-	if told == 0 {
+	if told == nil {
 		cannotRun(fmt.Errorf("the sentry sent no vote"))
 	}
 	mu.Lock()
 	defer mu.Unlock()
 	over := 0
 	for _, at := range trial {
-		if at.Sub(time.Unix(0, told)) > capBinds {
+		if at.Sub(*told) > capBinds {
 			over++
 		}
 	}
