--- a/review/stand/clients.go
+++ b/review/stand/clients.go
@@ -114,10 +114,10 @@
 	cases["oversize"] = caseOversize
 }
 
-// caseRepeaters: for 8 s, 200 bad clients send their request again as soon as it is turned away. Then they leave. The
+// caseRepeaters: for 8 s, 300 bad clients ask for a class that does not exist, again as soon as they are turned away. Then they leave. The
 // usual clients have to be answered, at the latest once the bad ones have gone.
 func caseRepeaters(r *record, trouble bool) bool {
-	const badClients, usualClients = 200, 20
+	const badClients, usualClients = 300, 20
 	s, _ := fleet(r, 8, setup{memoryMB: 64, sockets: 256}, func(a *attempt) string {
 		time.Sleep(100 * time.Millisecond)
 		return served("v-" + a.id)
@@ -164,7 +164,7 @@
 					c.SetDeadline(badUntil)
 					for k := 0; time.Now().Before(badUntil); k++ {
 						badSent.Add(1)
-						io.WriteString(c, encode("Q.ASK", fmt.Sprintf("%016x", i), fmt.Sprintf("b%05x%05x%05x", i, n, k), "c=reading,t=seabreeze-fish,d=2500"))
+						io.WriteString(c, encode("Q.ASK", fmt.Sprintf("%016x", i), fmt.Sprintf("b%05x%05x%05x", i, n, k), "c=nothing,t=seabreeze-fish,d=2500"))
 						if readReply(in).kind == 0 {
 							break
 						}
--- a/review/stand/copies.go
+++ b/review/stand/copies.go
@@ -20,6 +20,7 @@
 type link struct {
 	delay, again time.Duration
 	lost         float64 // share of pieces
+	until        time.Time
 	lostPieces   atomic.Int64
 }
 
@@ -74,7 +75,7 @@
 			pieces <- piece{due, nil}
 			return
 		}
-		if rand.Float64() < lost {
+		if rand.Float64() < lost && time.Now().Before(l.until) {
 			l.lostPieces.Add(1)
 			due = due.Add(l.again)
 		}
@@ -152,11 +153,11 @@
 }
 
 // caseCopies: one good answer in 40 is followed by a second copy 5 ms later, if nothing else waits on the connection then. Four
-// of six workers are in another zone, and the way to it loses one piece in five of what they send. A client may only be
+// of six workers are in another zone, and for 33 s the way to it loses one piece in five of what they send. A client may only be
 // served the value that a worker made for its request.
 func caseCopies(r *record, trouble bool) bool {
 	var answers, copies atomic.Int64
-	way := &link{delay: time.Millisecond, again: 250 * time.Millisecond, lost: 0.2}
+	way := &link{delay: time.Millisecond, again: 250 * time.Millisecond, lost: 0.2, until: time.Now().Add(33 * time.Second)}
 	w := &copying{work: 40 * time.Millisecond, late: 5 * time.Millisecond, answers: &answers, copies: &copies, record: r}
 	if trouble {
 		w.every = 40
@@ -179,7 +180,7 @@
 	s.configure(setup{settings: set, discovery: d.address, platform: p.address, known: d.known(), news: releasedNews()})
 	s.start()
 	s.waitReady()
-	until := time.Now().Add(60 * time.Second)
+	until := way.until.Add(2 * time.Second)
 	var group sync.WaitGroup
 	var good, foreign, other atomic.Int64
 	for i := range 20 {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"sort"
 	"syscall"
+	"time"
 )
 
 // cases are the cases by name. Each returns whether the rule held.
@@ -31,6 +32,7 @@
 	}
 	r := openRecord(os.Args[2])
 	played = r
+	time.AfterFunc(110*time.Second, func() { cannotRun(fmt.Errorf("over 110 s")) })
 	ends := make(chan os.Signal, 1)
 	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
--- a/review/stand/remainder.go
+++ b/review/stand/remainder.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -45,55 +46,66 @@
 
 // site is where workers are that can be cut off. Connections to its workers lead through a proxy that takes little
 // before it passes it on. While it is cut off the proxy takes nothing from either side and passes on nothing: what a side
-// has sent lies in that side's machine, but for what the proxy's small buffer had room for. New connections are refused.
+// has sent lies in that side's machine, but for what the proxy's small buffer had room for. New connections do not come up, and what
+// has come up meanwhile is reset once the site is back.
 type site struct {
 	mu    sync.Mutex
 	back  *sync.Cond
 	isCut bool
-	doors []*door
-}
-
-// door is where the connections to one worker of a site come in.
-type door struct {
-	address, to string
-	listener    net.Listener
+	doors []*net.TCPListener
 }
 
 // smallBuffer is the proxy's receive buffer in bytes; the system doubles it.
 const smallBuffer = 4 << 10
 
-func listenSmall(address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer) })
-	}}
-	return config.Listen(context.Background(), "tcp", address)
-}
-
 func newSite() *site {
 	s := &site{}
 	s.back = sync.NewCond(&s.mu)
 	return s
 }
 
-// add opens a door to a worker and returns its address.
+// add opens a door to a worker and returns its listener, which has room for one connection that is not accepted.
 func (s *site) add(to string) net.Listener {
-	l, err := listenSmall(ownHost + ":0")
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer) })
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", ownHost+":0")
 	if err != nil {
 		cannotRun(err)
 	}
-	d := &door{address: l.Addr().String(), to: to, listener: l}
-	s.doors = append(s.doors, d)
-	go s.serve(d, l)
+	l := listener.(*net.TCPListener)
+	s.doors = append(s.doors, l)
+	go s.serve(l, to)
 	return l
 }
 
-func (s *site) serve(d *door, l net.Listener) {
+// room sets how many connections a door's queue has room for, beside one.
+func room(l *net.TCPListener, connections int) {
+	if raw, err := l.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.Listen(int(fd), connections) })
+	}
+}
+
+func (s *site) serve(l *net.TCPListener, to string) {
 	for {
+		s.wait()
 		c, err := l.Accept()
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			continue
+		}
 		if err != nil {
 			return
 		}
-		w, err := net.Dial("tcp", d.to)
+		s.mu.Lock()
+		late := s.isCut
+		s.mu.Unlock()
+		if late {
+			s.wait()
+			reset(c)
+			continue
+		}
+		w, err := net.Dial("tcp", to)
 		if err != nil {
 			c.Close()
 			continue
@@ -104,6 +116,11 @@
 	}
 }
 
+func reset(c net.Conn) {
+	c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
 // pass passes on what comes from one side, and its end.
 func (s *site) pass(from, to *net.TCPConn) {
 	for buffer := make([]byte, 1<<10); ; {
@@ -116,8 +133,7 @@
 			to.CloseWrite()
 			return
 		case err != nil:
-			to.SetLinger(0)
-			to.Close()
+			reset(to)
 			return
 		}
 	}
@@ -132,22 +148,39 @@
 	}
 }
 
-// cut cuts the site off for a time.
+// cut cuts the site off for a time. It fills the queue of each door, so that the system lets no further connection come up.
 func (s *site) cut(length time.Duration) {
+	end := time.Now().Add(length)
 	s.mu.Lock()
 	s.isCut = true
 	s.mu.Unlock()
-	for _, d := range s.doors {
-		d.listener.Close()
+	var fillers sync.WaitGroup
+	for _, l := range s.doors {
+		fillers.Go(func() {
+			l.SetDeadline(time.Now()) // ends an accept that waits
+			room(l, 0)
+			for range 8 {
+				c, err := net.DialTimeout("tcp", l.Addr().String(), 30*time.Millisecond)
+				if err != nil {
+					return
+				}
+				time.AfterFunc(time.Until(end)+time.Second, func() { c.Close() })
+			}
+		})
 	}
-	time.AfterFunc(length, func() {
-		for _, d := range s.doors {
-			l, err := listenSmall(d.address)
-			if err != nil {
-				cannotRun(err)
+	fillers.Wait()
+	time.AfterFunc(time.Until(end), func() {
+		for _, l := range s.doors { // what has come up meanwhile is reset
+			l.SetDeadline(time.Now().Add(10 * time.Millisecond))
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					break
+				}
+				reset(c)
 			}
-			d.listener = l
-			go s.serve(d, l)
+			l.SetDeadline(time.Time{})
+			room(l, 128)
 		}
 		s.mu.Lock()
 		s.isCut = false
@@ -157,7 +190,7 @@
 }
 
 // caseRemainder: the sentry's site, with five of fifteen workers, is cut off from the two others for 6 s. Labelled requests have bodies of 32 KiB. No attempt may come
-// to a worker whole later than the workers remember the label.
+// to a worker whole after the final answer and later than the workers remember the label.
 func caseRemainder(r *record, trouble bool) bool {
 	const (
 		window  = 1500 * time.Millisecond
@@ -194,6 +227,7 @@
 	body := strings.Repeat("y", 32<<10)
 	var clients sync.WaitGroup
 	var good, other atomic.Int64
+	var finals sync.Map // when a label's client had its final answer
 	for i := range 20 {
 		clients.Go(func() {
 			labelled(s, i, 200*time.Millisecond, until, body, func(id string, a reply, took time.Duration) {
@@ -202,6 +236,9 @@
 				} else {
 					other.Add(1)
 				}
+				if a.kind != 0 {
+					finals.Store(id, time.Now())
+				}
 				r.line("request %s is answered with %c after %.3f s", id, a.kind, took.Seconds())
 			})
 		})
@@ -220,7 +257,8 @@
 	for label, runs := range g.runs {
 		for i, x := range runs {
 			for _, before := range runs[:i] {
-				if after := x.at.Sub(before.at); !before.dropped && !x.dropped && after > window+slack {
+				final, answered := finals.Load(label) // the label is the request's id
+				if after := x.at.Sub(before.at); !before.dropped && !x.dropped && after > window+slack && answered && x.at.Sub(final.(time.Time)) > slack {
 					twice++
 					r.line("BREAK: label %s: %s has it whole %.3f s after %s, and runs it again", label, x.worker, after.Seconds(), before.worker)
 				}
--- a/review/stand/votes.go
+++ b/review/stand/votes.go
@@ -9,13 +9,12 @@
 
 func init() { cases["lateanswer"] = caseLateAnswer }
 
-// caseLateAnswer: the answer to a vote comes 1 s after the vote, where the settings wait for 800 ms, and tells that the
-// build goes back, with the cap 0. The platform's news tells it 6.5 s after the change. From 2.2 s after the answer was
-// written no attempt may go to the build.
+// caseLateAnswer: all that the platform tells comes 1 to 4.5 s later than usual: answers to votes after 1.1 s in place of 0.1 s, where
+// the settings wait for 800 ms, and news of a change after 6.5 s in place of 2 s. The answer to a vote that counts tells that the
+// build goes back, with the cap 0. From 2.2 s after it was written no attempt may go to the build.
 func caseLateAnswer(r *record, trouble bool) bool {
 	const (
 		trialBuild  = releasedBuild + 1
-		newsDelay   = 6500 * time.Millisecond                                            // of the platform's news, within 1.7 s and 7.3 s more
 		capBinds    = 2000*time.Millisecond + 150*time.Millisecond + 50*time.Millisecond // after the answer: the grace for drains, and the slack of the rules on sockets
 		moreAllowed = 2                                                                  // attempts that pass
 	)
@@ -35,9 +34,9 @@
 		workers = append(workers, startWorker(fmt.Sprint("s-", i), releasedBuild+i/4, answer))
 	}
 	d := startDiscovery(r, workers...)
-	answerDelay := 100 * time.Millisecond
-	if trouble {
-		answerDelay = time.Second
+	answerDelay, newsDelay := 100*time.Millisecond, 2*time.Second
+	if trouble { // all that the platform tells is later than usual
+		answerDelay, newsDelay = answerDelay+time.Second, newsDelay+4500*time.Millisecond
 	}
 	const before, after = "42 1 Progressing 0.425 ", "42 1 Aborting 0 "
 	begin := time.Now()
@@ -47,18 +46,18 @@
 	p = startPlatform(r, before+"500", func(words []string) (string, time.Duration) {
 		r.line("vote: %v", words)
 		switch {
-		case time.Since(begin) < 5*time.Second:
-			return "ERR too_many_calls", 100 * time.Millisecond
+		case time.Since(begin) < 2*time.Second:
+			return "ERR too_many_calls", answerDelay
 		case changed.CompareAndSwap(false, true):
 			r.line("the vote counts; another sentry's vote sends the build back")
 			time.AfterFunc(answerDelay, func() {
 				now := time.Now()
 				written.Store(&now)
 			})
-			time.AfterFunc(newsDelay, func() { p.tell(after + "6500") })
+			time.AfterFunc(newsDelay, func() { p.tell(after + fmt.Sprint(newsDelay.Milliseconds())) })
 			return "OK " + after + "50", answerDelay
 		}
-		return "ERR out_of_date", 100 * time.Millisecond
+		return "ERR out_of_date", answerDelay
 	})
 	s := newSentry(r)
 	s.configure(setup{settings: settings(), discovery: d.address, platform: p.address, known: d.known(),
