A given-up attempt leaves nothing in the kernel: dialled links are reset, not closed

Its first attempt had been given up while a site was cut off for 6 s.

Cause: Link.Close shut the socket down and the poller closed it. After an ordinary close TCP goes on sending what was written.

Fix: dialled links have SO_LINGER 0 from the dial on, which covers errors and SIGKILL, and Close disconnects the socket at once unless the peer's kernel has acknowledged every byte. Disconnecting empties the send queue in the same call that sends the reset, so nothing can be sent in between. SO_LINGER alone is not enough: TestCloseDropsWhilePollerIsBusy failed with it, since the kernel may send between the shutdown and the poller's close. Accepted links end as before.

--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -68,6 +68,7 @@
 	maxPending int    // bytes
 	// empty for an accepted connection
 	dialledAddr string
+	resets      bool // closing drops what the kernel has not delivered; see dropUndelivered
 	peerAddr    net.Addr
 
 	mu           sync.Mutex
@@ -143,6 +144,7 @@
 	}
 	l := newLink(conn, limits, handle, onClosed)
 	l.dialledAddr = address
+	l.resets = setResetOnClose(l.fd, true)
 	if err := conn.SetOnRequest(l.handleData); err != nil {
 		conn.Close()
 		return nil, err
@@ -256,7 +258,7 @@
 	return l.enqueue(true, func(buf []byte) ([]byte, error) { return append(buf, b...), nil })
 }
 
-// PutOffset returns how many bytes were put so far, for MayHaveSent.
+// PutOffset returns how many bytes were put so far, for MayHaveSent and IsAcknowledged.
 func (l *Link) PutOffset() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -271,6 +273,15 @@
 	return offset <= l.writtenBytes || offset <= l.sendingBytes && !l.writeFailed
 }
 
+// IsAcknowledged reports whether the peer's kernel has acknowledged everything that was put up to an offset. Once it has, nothing
+// of it can arrive later than it has already.
+func (l *Link) IsAcknowledged(offset int64) bool {
+	l.mu.Lock()
+	written := l.writtenBytes // read first: what is written meanwhile counts as unacknowledged
+	l.mu.Unlock()
+	return offset <= written-int64(l.unacknowledgedBytes())
+}
+
 // Send calls PutProto and Flush.
 func (l *Link) Send(kind Kind, m proto.Message) bool {
 	ok := l.PutProto(kind, m)
@@ -344,62 +355,6 @@
 	}
 }
 
-// CloseIfIdle closes the link and reports whether it did; it is called on the poller. It does not close the link if there is
-// unread data in the socket, a partial message (unless discardPartial is set), a pending write, or written data that the peer
-// has not acknowledged: data that arrives after the close resets the connection, and data on its way to the peer would be lost
-// with it. Data that arrives after the close is never read, and the reset tells its sender so. A detached link is not closed
-// either.
-func (l *Link) CloseIfIdle(reason error, discardPartial bool) bool {
-	if l.isDetached() || !discardPartial && len(l.partial) > 0 || l.HasPendingWrites() || l.unacknowledgedBytes() > 0 || !l.IsReadIdle() {
-		return false
-	}
-	l.markClosed(reason)
-	_ = l.conn.Close() // must not be the connection whose handler is running, see init
-	return true
-}
-
-// Close closes the link for a reason. Pending writes may be lost. The handler may still be running on another goroutine, and
-// what it does then has no effect. The socket is shut down here, and closed by the poller.
-func (l *Link) Close(reason error) {
-	l.markClosed(reason)
-	if l.isDetached() {
-		l.closeDetached(reason)
-		return
-	}
-	l.fdMu.Lock()
-	defer l.fdMu.Unlock()
-	if !l.fdClosed {
-		_ = syscall.Shutdown(l.fd, syscall.SHUT_RDWR)
-	}
-}
-
-// isFDClosed reports whether the descriptor is closed or about to be.
-func (l *Link) isFDClosed() bool {
-	l.fdMu.Lock()
-	defer l.fdMu.Unlock()
-	return l.fdClosed
-}
-
-// isDetached reports whether netpoll no longer owns the connection.
-func (l *Link) isDetached() bool {
-	l.fdMu.Lock()
-	defer l.fdMu.Unlock()
-	return l.detached
-}
-
-// markClosed marks the link as closed and calls onClosed, once.
-func (l *Link) markClosed(reason error) {
-	l.closeOnce.Do(func() {
-		l.mu.Lock()
-		l.closed = true
-		l.updateBuffered()
-		l.mu.Unlock()
-		if l.onClosed != nil {
-			l.onClosed(l, reason)
-		}
-	})
-}
-
 // HasPartialMessage reports whether an incomplete message has been received. It is called on the poller.
 func (l *Link) HasPartialMessage() bool { return len(l.partial) > 0 }
 
