Unfinished answers of workers no longer take the process over its memory limit

Cause: a value could have 2 MiB, where the protocol allows 64 KiB; incomplete answers were not bounded together; and the stall timer began anew with each byte.

Change: values as large as the protocol allows; internal/memory, one account with a budget for each purpose, in place of the two that stood in wire and platform; budgets for incomplete answers and for answers that wait for the event loop, beyond which the other connections are not read; the shortest due time from an answer's first byte to its last. A first form ended the oldest incomplete answer and failed TestBusyAtReplyBudget, rightly: good answers were lost.

Tests: TestAnswerBeyondLargestValue, TestAnswerThatGoesOn and TestUnfinishedAnswersShareMemory fail with the parts of the fix taken out, the process test at the commit before.

--- a/cmd/scalechute/platform.go
+++ b/cmd/scalechute/platform.go
@@ -52,7 +52,7 @@
 	if fault != platform.NoFault {
 		log.Warn().Str("promise", faultName).Msg("injected fault: this sentry violates a guarantee on purpose")
 	}
-	s, err := sentry.Start(config.Settings, sentry.Options{Log: log, Transport: transport, CachedList: config.InitialList})
+	s, err := sentry.Start(config.Settings, sentry.Options{Log: log, Transport: transport, CachedList: config.InitialList, Memory: transport.Memory()})
 	if err != nil {
 		return err
 	}
--- a/internal/platform/client_commands.go
+++ b/internal/platform/client_commands.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"scalechute/internal/memory"
 	"scalechute/internal/resp"
 	"scalechute/internal/wire"
 )
@@ -136,7 +137,7 @@
 func (c *clientConn) reserveMemory(id uint64, bytes int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lifecycle.state == stateClosed || !c.platform.requestMemory.reserve(c.requestBytes, bytes) {
+	if c.lifecycle.state == stateClosed || !c.platform.memory.Budget(memory.Requests).Reserve(c.requestBytes, bytes) {
 		return false
 	}
 	c.requestBytes += bytes
--- a/internal/platform/client_replies.go
+++ b/internal/platform/client_replies.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"scalechute/internal/memory"
 	"scalechute/internal/resp"
 	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
@@ -88,7 +89,7 @@
 // releaseMemory gives back the memory that was reserved for the request of a reply. The caller holds c.mu.
 func (c *clientConn) releaseMemory(r *reply) {
 	c.requestBytes -= r.memory
-	c.platform.requestMemory.release(r.memory)
+	c.platform.memory.Budget(memory.Requests).Add(-r.memory)
 	r.memory = 0
 }
 
@@ -135,7 +136,7 @@
 // and the drain can still replace it. If such replies use up the reply budget, they are passed on all the same, since the
 // kernel has room for some. The caller holds c.mu.
 func (c *clientConn) mayPassOn(r *reply) bool {
-	return len(r.text) <= smallReplyBytes || c.HasWindowFor(len(r.text)) || c.platform.replyBudget.Remaining() <= 0
+	return len(r.text) <= smallReplyBytes || c.HasWindowFor(len(r.text)) || c.platform.memory.Budget(memory.Replies).Remaining() <= 0
 }
 
 // writeReady passes the leading replies that are ready to the link, as far as it has room. written is false if the link
@@ -268,7 +269,7 @@
 func (p *Platform) hasReplyBudget() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return int64(len(p.openRequests)+1)*p.meanReplyBytes <= p.replyBudget.Remaining()
+	return int64(len(p.openRequests)+1)*p.meanReplyBytes <= p.memory.Budget(memory.Replies).Remaining()
 }
 
 // finishRequest releases the id of an open request and updates the mean reply size.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"scalechute/internal/clock"
+	"scalechute/internal/memory"
 	"scalechute/internal/sentry"
 	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
@@ -35,23 +36,20 @@
 
 	mu             sync.Mutex // guards clients, openRequests and meanReplyBytes
 	faultTrigger   trigger
-	replyBudget    *wire.BufferBudget // for replies that wait to be written
-	requestMemory  requestMemory      // of open requests
+	memory         *memory.Account
+	partialAnswers *wire.PartialMessages
 	clients        map[*clientConn]struct{}
 	openRequests   map[string]struct{} // ids of open requests
 	meanReplyBytes int64               // mean size of a reply
 }
 
-// replyMemoryDivisor sets the memory for replies that wait to be written: the process's memory divided by it.
-const replyMemoryDivisor = 4
-
 // New creates the Platform of a configuration. Of its sockets it opens only the one for peers.
 func New(config *Config, log zerolog.Logger) (*Platform, error) {
 	p := &Platform{log: log, wallClock: config.wallClock, done: make(chan struct{}),
 		clients: map[*clientConn]struct{}{}, openRequests: map[string]struct{}{}}
 	p.config.Store(config)
-	p.replyBudget = wire.NewBufferBudget(config.MemoryMB << 20 / replyMemoryDivisor)
-	p.requestMemory.max = config.MemoryMB << 20 / requestMemoryDivisor
+	p.memory = memory.NewAccount(config.MemoryMB << 20)
+	p.partialAnswers = wire.NewPartialMessages(p.memory.Budget(memory.PartialAnswers), wire.PauseNewest)
 	p.discovery = newDiscovery(p, config.DiscoveryAddress)
 	p.controlPlane = &controlPlane{platform: p, address: config.ControlPlaneAddress, addressChanged: make(chan struct{}, 1)}
 	var err error
@@ -59,6 +57,9 @@
 	return p, err
 }
 
+// Memory returns the account of the process's memory.
+func (p *Platform) Memory() *memory.Account { return p.memory }
+
 // isDone reports whether Close was called.
 func (p *Platform) isDone() bool {
 	select {
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -17,13 +17,9 @@
 	"scalechute/logic"
 )
 
-// maxAnswerValueBytes bounds the value of a worker's answer. Some answers are several times larger than the largest
-// command body.
-const maxAnswerValueBytes = 2 << 20
-
-// answerLimits bounds the answers of workers.
-var answerLimits = resp.Limits{MaxLineBytes: 1024, MaxBulkBytes: maxAnswerValueBytes, MaxValues: 8, MaxDepth: 2,
-	MaxMessageBytes: maxAnswerValueBytes + 4096}
+// answerLimits bounds the answers of workers. As in commands, a value holds at most maxValueBytes.
+var answerLimits = resp.Limits{MaxLineBytes: 1024, MaxBulkBytes: maxValueBytes, MaxValues: 8, MaxDepth: 2,
+	MaxMessageBytes: maxValueBytes + 4096}
 
 // workerConn is a connection to a worker. Answers come in the order of the hand-offs.
 type workerConn struct {
@@ -37,6 +33,7 @@
 	unusable      bool          // no further hand-off may be written
 	partialAnswer bool          // the answer to pending[0] is incomplete or can't be parsed
 	stallTimer    *time.Timer   // runs while an answer is incomplete
+	partialSince  time.Time     // when the incomplete answer began to arrive
 }
 
 // sentHandOff is a hand-off written to the link. endOffset is the link's offset after its last byte.
@@ -51,7 +48,7 @@
 // Dial connects to a worker.
 func (p *Platform) Dial(handler sentry.WorkerConnHandler, address string, limit time.Duration) (sentry.WorkerConn, error) {
 	w := &workerConn{platform: p, handler: handler, reader: resp.Reader{Limits: answerLimits}}
-	link, err := wire.DialRaw(address, limit, wire.Limits{MaxFrameBytes: maxValueBytes, MaxPendingBytes: 4 * maxValueBytes}, w.read,
+	link, err := wire.DialRaw(address, limit, wire.Limits{MaxFrameBytes: maxValueBytes, MaxPendingBytes: 4 * maxValueBytes, Partials: p.partialAnswers}, w.read,
 		func(_ *wire.Link, reason error) {
 			w.stopStallTimer()
 			handler.ConnectionClosed(reason)
@@ -158,43 +155,60 @@
 // by it. A worker has the answer in memory and sends it over a nearby network.
 const answerStallDivisor = 2
 
-// answerStallTimeout returns the time for which an incomplete answer may make no progress.
-func (c *Config) answerStallTimeout() time.Duration {
+// shortestDueTime returns the shortest due time of any class. It bounds the time from the first byte of an answer to its
+// last.
+func (c *Config) shortestDueTime() time.Duration {
 	shortest := c.Settings.MaxDeadline()
 	for _, profile := range c.Settings.Policy.Profiles {
 		shortest = min(shortest, profile.DueTime)
 	}
-	return time.Duration(shortest/answerStallDivisor) * time.Microsecond
+	return time.Duration(shortest) * time.Microsecond
 }
 
-var errStalledAnswer = errors.New("found an incomplete answer, expected its rest within the stall timeout")
+var (
+	errStalledAnswer = errors.New("found an incomplete answer, expected its rest within the stall timeout")
+	errSlowAnswer    = errors.New("found an answer that goes on, expected its end within the shortest due time")
+)
 
 // setPartialAnswer records whether an answer is incomplete or can't be parsed, and runs the stall timer meanwhile. An
-// answer that makes no progress is treated like one that can't be parsed.
+// answer that makes no progress, or goes on for too long, is treated like one that can't be parsed.
 func (w *workerConn) setPartialAnswer(partial bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch w.partialAnswer = partial; {
 	case partial && w.stallTimer == nil:
-		w.stallTimer = time.AfterFunc(w.platform.config.Load().answerStallTimeout(), w.closeIfStalled)
+		w.partialSince = time.Now()
+		w.stallTimer = time.AfterFunc(w.stallTimeout(), w.closeIfStalled)
 	case partial:
-		w.stallTimer.Reset(w.platform.config.Load().answerStallTimeout())
+		w.stallTimer.Reset(w.stallTimeout())
 	case !partial && w.stallTimer != nil:
 		w.stallTimer.Stop()
 		w.stallTimer = nil
 	}
 }
 
-// closeIfStalled closes a connection whose answer makes no progress, unless it has unread data.
+// stallTimeout returns after which time without progress an incomplete answer is to be looked at. The caller holds w.mu.
+func (w *workerConn) stallTimeout() time.Duration {
+	shortest := w.platform.config.Load().shortestDueTime()
+	return max(0, min(shortest/answerStallDivisor, shortest-time.Since(w.partialSince)))
+}
+
+// closeIfStalled closes a connection whose answer makes no progress, unless it has unread data, or whose answer goes on for
+// too long. The time during which it is not read for want of memory does not count.
 func (w *workerConn) closeIfStalled() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	switch {
+	switch { // closing takes w.mu
 	case !w.partialAnswer || w.stallTimer == nil:
+	case w.IsMemoryPaused():
+		w.partialSince = time.Now()
+		w.stallTimer.Reset(w.stallTimeout())
+	case time.Since(w.partialSince) >= w.platform.config.Load().shortestDueTime():
+		go w.Close(errSlowAnswer)
 	case w.IsReadIdle():
-		go w.Close(errStalledAnswer) // closing takes w.mu
+		go w.Close(errStalledAnswer)
 	default:
-		w.stallTimer.Reset(w.platform.config.Load().answerStallTimeout())
+		w.stallTimer.Reset(w.stallTimeout())
 	}
 }
 
--- a/internal/sentry/inbox.go
+++ b/internal/sentry/inbox.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"scalechute/internal/memory"
 	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
 	"scalechute/logic"
@@ -105,7 +106,8 @@
 
 // inbox is the queue of events for the event loop, in order of arrival. Events that others initiate (clients, peers,
 // discovery, the control plane) wait while it is full. Events that end or answer something do not wait: their number
-// is bounded by that of open hand-offs, dials and requests.
+// is bounded by that of open hand-offs, dials and requests. Workers' answers also wait while the memory of those in the inbox
+// is used up: they are not read from the connections meanwhile.
 type inbox struct {
 	mu        sync.Mutex
 	notFull   *sync.Cond
@@ -114,11 +116,12 @@
 	closed    bool
 	clock     clock
 	wakeUp    chan struct{}
-	fullWaits int // number of puts that had to wait, for the metrics
+	fullWaits int            // number of puts that had to wait, for the metrics
+	answers   *memory.Budget // of the answers in the inbox; nil if they are not bounded
 }
 
-func newInbox(capacity int, c clock) *inbox {
-	q := &inbox{capacity: capacity, clock: c, wakeUp: make(chan struct{}, 1)}
+func newInbox(capacity int, answers *memory.Budget, c clock) *inbox {
+	q := &inbox{capacity: capacity, answers: answers, clock: c, wakeUp: make(chan struct{}, 1)}
 	q.notFull = sync.NewCond(&q.mu)
 	return q
 }
@@ -127,9 +130,9 @@
 // the inbox is full.
 func (q *inbox) put(e *event, mayWait bool) bool {
 	q.mu.Lock()
-	if mayWait && len(q.events) >= q.capacity && !q.closed {
+	if q.hasToWait(e, mayWait) {
 		q.fullWaits++
-		for len(q.events) >= q.capacity && !q.closed {
+		for q.hasToWait(e, mayWait) {
 			q.notFull.Wait()
 		}
 	}
@@ -137,6 +140,9 @@
 		q.mu.Unlock()
 		return false
 	}
+	if size := q.answerBytes(e); size > 0 {
+		q.answers.Add(size)
+	}
 	e.at = q.clock.now()
 	q.events = append(q.events, *e)
 	first := len(q.events) == 1
@@ -150,6 +156,35 @@
 	return true
 }
 
+// hasToWait reports whether there is no room for an event. q.mu is held.
+func (q *inbox) hasToWait(e *event, mayWait bool) bool {
+	if q.closed {
+		return false
+	}
+	size := q.answerBytes(e)
+	noMemory := size > 0 && q.answers.Used() > 0 && size > q.answers.Remaining()
+	return noMemory || mayWait && len(q.events) >= q.capacity
+}
+
+// answerBytes returns the memory of an event that counts as that of an answer.
+func (q *inbox) answerBytes(e *event) int64 {
+	if q.answers == nil || e.kind != eventWorkerAnswer {
+		return 0
+	}
+	return int64(len(e.payload))
+}
+
+// release gives back the memory of an event that was handled.
+func (q *inbox) release(e *event) {
+	putBuffer(e.buffer)
+	if size := q.answerBytes(e); size > 0 {
+		q.mu.Lock()
+		q.answers.Add(-size)
+		q.mu.Unlock()
+		q.notFull.Broadcast()
+	}
+}
+
 // take returns all waiting events. It stores new ones in the memory of the given slice, whose events must have been
 // handled.
 func (q *inbox) take(empty []event) []event {
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"scalechute/internal/input"
+	"scalechute/internal/memory"
 	"scalechute/internal/orders"
 	"scalechute/internal/wire"
 	"scalechute/internal/wire/pb"
@@ -92,6 +93,7 @@
 	Decide        func(*input.Input) logic.Result   // replaces the decision module, for baselines and tests
 	Transport     Transport                         // nil for the frame protocol
 	CachedList    *pb.Report                        // initial worker list, used in place of the file
+	Memory        *memory.Account                   // of the process; nil if the memory is not bounded
 }
 
 // transaction is one that a client sent and the sentry accepted.
@@ -149,7 +151,11 @@
 	if seed == 0 {
 		seed = time.Now().UnixNano() // wall clock: a seed
 	}
-	s.inbox = newInbox(settings.Bounds.InboxEvents, s.clock)
+	var waitingAnswers *memory.Budget
+	if opts.Memory != nil {
+		waitingAnswers = opts.Memory.Budget(memory.WaitingAnswers)
+	}
+	s.inbox = newInbox(settings.Bounds.InboxEvents, waitingAnswers, s.clock)
 	s.decide = opts.Decide
 	if s.decide == nil {
 		module := logic.New(settings.Policy, seed)
@@ -157,6 +163,9 @@
 	}
 	s.routing.Store(newRouting(settings))
 	s.metrics = newMetrics(s)
+	if opts.Memory != nil {
+		s.metrics.registry.MustRegister(memoryCollector{opts.Memory})
+	}
 	s.metrics.setProfiles(settings.ProfileNames)
 	s.now = s.clock.now()
 	s.workerList = newWorkerList(settings.Zones)
@@ -243,7 +252,7 @@
 			s.runTimers(batch[i].at, batch[i].at)
 			s.now = max(s.now, batch[i].at)
 			s.event(&batch[i])
-			putBuffer(batch[i].buffer)
+			s.inbox.release(&batch[i])
 			batch[i] = event{}
 		}
 		s.runTimers(now+1, now)
--- a/internal/wire/close.go
+++ b/internal/wire/close.go
@@ -99,6 +99,9 @@
 		l.closed = true
 		l.updateBuffered()
 		l.mu.Unlock()
+		if l.partials != nil {
+			l.partials.count(l, 0)
+		}
 		if l.onClosed != nil {
 			l.onClosed(l, reason)
 		}
--- a/internal/wire/detach.go
+++ b/internal/wire/detach.go
@@ -244,6 +244,7 @@
 	}
 	rest, err := l.handle(l, append(l.partial, part[:n]...))
 	l.partial = append([]byte(nil), rest...)
+	l.countPartial()
 	if err != nil {
 		l.Close(err)
 	}
@@ -328,6 +329,7 @@
 	}
 	l.fdClosed = true
 	getWatcher().unwatch(l)
+	l.dropUndelivered()
 	_ = syscall.Close(l.fd)
 	l.fdMu.Unlock()
 	l.markClosed(reason)
--- a/internal/wire/flow.go
+++ b/internal/wire/flow.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -21,19 +20,6 @@
 // defaultSlowReaderTimeout is how long a peer may receive nothing while data waits for it, unless the link's limits set it.
 const defaultSlowReaderTimeout = 10 * time.Second
 
-// BufferBudget counts the bytes that wait to be written on all links of a server against a maximum. It does not stop links from
-// buffering more: the server's owner checks Remaining.
-type BufferBudget struct {
-	used atomic.Int64
-	max  int64
-}
-
-// NewBufferBudget returns a budget of maxBytes.
-func NewBufferBudget(maxBytes int64) *BufferBudget { return &BufferBudget{max: maxBytes} }
-
-// Remaining returns how many more bytes may wait; it is negative if too many wait already.
-func (b *BufferBudget) Remaining() int64 { return b.max - b.used.Load() }
-
 // AddBuffered adds delta, which may be negative, to the bytes that the owner buffers for the peer and has not put yet.
 func (l *Link) AddBuffered(delta int) {
 	l.mu.Lock()
@@ -49,7 +35,7 @@
 		unsent = 0
 	}
 	if l.budget != nil {
-		l.budget.used.Add(unsent - l.budgeted)
+		l.budget.Add(unsent - l.budgeted)
 	}
 	l.budgeted = unsent
 	wasPaused := l.readPaused
@@ -65,10 +51,10 @@
 	}
 }
 
-// pauseOrResume pauses reading while too many bytes wait, and resumes it afterwards. It runs on the poller.
+// pauseOrResume pauses reading while too many bytes wait or memory is short, and resumes it afterwards. It runs on the poller.
 func (l *Link) pauseOrResume() {
 	l.mu.Lock()
-	pause, closed := l.readPaused, l.closed
+	pause, closed := l.readPaused || l.memoryPaused, l.closed
 	l.mu.Unlock()
 	switch {
 	case l.readStopped || closed:
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -13,6 +13,8 @@
 
 	"github.com/cloudwego/netpoll"
 	"google.golang.org/protobuf/proto"
+
+	"scalechute/internal/memory"
 )
 
 func init() {
@@ -78,9 +80,11 @@
 	closed       bool
 	whenWritten  []func() // called once everything is written
 	putBytes     int64    // total bytes put
+	partialBytes int64    // bytes counted as an incomplete message
 	buffered     int64    // bytes that the owner buffers for the peer and has not put yet
 	budgeted     int64    // bytes counted against the budget for this link
 	readPaused   bool     // reading is to be paused, since too much waits to be written
+	memoryPaused bool     // reading is to be paused, since too much of incomplete messages has arrived
 	sendingBytes int64    // of putBytes, those passed to the kernel or being passed to it
 	writtenBytes int64    // of putBytes, those that the kernel has accepted
 	writeFailed  bool     // the last write failed, possibly after a part of its data
@@ -100,8 +104,10 @@
 	missingBytes      func(part []byte) int
 	readStopped       bool // reading never resumes; used only on the poller
 	isServer          bool // accepted by a server: reading pauses while too much waits to be written
-	budget            *BufferBudget
+	budget            *memory.Budget
 	slowReaderTimeout time.Duration
+	partials          *PartialMessages
+	onPartialGivenUp  func() // nil unless partials gives messages up
 	onSocketClosed    func() // called once the socket is closed; may be nil
 }
 
@@ -111,7 +117,8 @@
 	// Maximum number of bytes that wait to be written. A dialled link refuses to put more. A server's link accepts every answer
 	// put with PutUnbounded or PutRawUnbounded, but pauses reading while more than this waits.
 	MaxPendingBytes int
-	Budget          *BufferBudget // shared by a server's links; nil if there is none
+	Budget          *memory.Budget   // of the bytes that wait to be written on a server's links; nil if there is none
+	Partials        *PartialMessages // bounds incomplete messages together with those of other links; nil if nothing does
 	// How long the peer may receive nothing while data waits for it; 0 means defaultSlowReaderTimeout.
 	SlowReaderTimeout time.Duration
 }
@@ -121,7 +128,7 @@
 
 // newLink makes a link of a connection. Its handler may be set later, but before data can arrive.
 func newLink(conn netpoll.Connection, limits Limits, handle DataHandler, onClosed func(*Link, error)) *Link {
-	l := &Link{conn: conn, handle: handle, onClosed: onClosed, maxPending: limits.MaxPendingBytes, slowReaderTimeout: cmp.Or(limits.SlowReaderTimeout, defaultSlowReaderTimeout), budget: limits.Budget, peerAddr: conn.RemoteAddr()}
+	l := &Link{conn: conn, handle: handle, onClosed: onClosed, maxPending: limits.MaxPendingBytes, slowReaderTimeout: cmp.Or(limits.SlowReaderTimeout, defaultSlowReaderTimeout), budget: limits.Budget, partials: limits.Partials, peerAddr: conn.RemoteAddr()}
 	l.flushFn = l.flush
 	l.fd = -1
 	if conn, ok := conn.(netpoll.Conn); ok {
@@ -175,7 +182,11 @@
 		return err
 	}
 	l.keepPartial(rest)
-	return r.Release()
+	err = r.Release()
+	if l.countPartial(); l.partials != nil {
+		l.partials.makeRoom(l)
+	}
+	return err
 }
 
 // maxKeptBytes bounds a buffer that a link keeps for reuse. A process has hundreds of links.
