A hand-off that is not delivered by its time is dropped with its connection

A labelled retry written within its window, or a hand-off within the list's lease, could lie in the kernel of a cut connection and arrive up to its deadline later. On frames a given-up hand-off arrived with its cancellation behind it, and all hand-offs of a broken connection counted as ones that may have run.

Cause: SendBy was looked at before the write only, and frames close nothing when a hand-off is given up.

Change: a hand-off knows the offset of its last byte; what the peer's system has not acknowledged by SendBy and 50 ms, or on frames by the time to connect after it is given up, closes the connection, which drops it. MayHaveReceived of both transports is now the link's MayHaveSent, which is false for what the kernel has not accepted when the link closes: sendOnce counts what was written before Close can run. Metric undelivered_total.

--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -29,17 +29,11 @@
 	reader   resp.Reader
 
 	mu            sync.Mutex
-	pending       []sentHandOff // hand-offs that await their answers, the oldest first
-	unusable      bool          // no further hand-off may be written
-	partialAnswer bool          // the answer to pending[0] is incomplete or can't be parsed
-	stallTimer    *time.Timer   // runs while an answer is incomplete
-	partialSince  time.Time     // when the incomplete answer began to arrive
-}
-
-// sentHandOff is a hand-off written to the link. endOffset is the link's offset after its last byte.
-type sentHandOff struct {
-	id        uint64
-	endOffset int64
+	pending       []uint64    // ids of hand-offs that await their answers, the oldest first
+	unusable      bool        // no further hand-off may be written
+	partialAnswer bool        // the answer to pending[0] is incomplete or can't be parsed
+	stallTimer    *time.Timer // runs while an answer is incomplete
+	partialSince  time.Time   // when the incomplete answer began to arrive
 }
 
 // AnswersInOrder reports that the answers on a connection come in the order of its hand-offs.
@@ -72,19 +66,11 @@
 // SendHello sends nothing: RESP2 has no handshake, and the connection is ready for hand-offs.
 func (w *workerConn) SendHello() { w.handler.Ready() }
 
-// MayHaveReceived reports whether the worker may have received all of a hand-off.
-func (w *workerConn) MayHaveReceived(id uint64) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	i := slices.IndexFunc(w.pending, func(x sentHandOff) bool { return x.id == id })
-	return i < 0 || w.Link.MayHaveSent(w.pending[i].endOffset)
-}
-
 // AnswerStarted reports whether the answer to a hand-off has begun to arrive and is incomplete or can't be parsed.
 func (w *workerConn) AnswerStarted(id uint64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.partialAnswer && len(w.pending) > 0 && w.pending[0].id == id
+	return w.partialAnswer && len(w.pending) > 0 && w.pending[0] == id
 }
 
 // Cancel does nothing: RESP2 has no cancel, so the sentry closes the connection.
@@ -104,7 +90,7 @@
 	if !w.PutAppended(encode) {
 		return false
 	}
-	w.pending = append(w.pending, sentHandOff{work.ID, w.PutOffset()})
+	w.pending = append(w.pending, work.ID)
 	return true
 }
 
@@ -134,7 +120,7 @@
 			return data, nil
 		}
 		w.mu.Lock()
-		done.ID = w.pending[0].id
+		done.ID = w.pending[0]
 		w.pending = w.pending[1:]
 		if len(w.pending) == 0 {
 			w.pending = nil
--- a/internal/sentry/hand_offs.go
+++ b/internal/sentry/hand_offs.go
@@ -120,7 +120,10 @@
 		s.unflushed = append(s.unflushed, c.link)
 		c.freeSlots = c.freeSlots[:len(c.freeSlots)-1]
 		c.slots[slotIndex] = slot{id: id, t: t, gen: t.gen, index: index}
-		c.lastUsed, h.conn, h.id = s.now, c, id
+		c.lastUsed, h.conn, h.id, h.endOffset = s.now, c, id, c.link.PutOffset()
+		if by := max(h.sendBy, s.now) + deliverySlack; h.sendBy > 0 && by < h.deadline { // at its deadline it is given up anyway
+			s.requireDelivery(c, h.endOffset, by)
+		}
 		s.setTimer(t)
 		s.metrics.handOffs.Inc()
 		s.logOldList(w, t, index)
@@ -206,13 +209,18 @@
 		case ending != logic.TimedOut && ending != logic.Broken:
 		case h.conn.link.AnswerStarted(h.id):
 			ending = logic.Unreadable
-		case ending == logic.Broken && !h.conn.link.MayHaveReceived(h.id):
+		case ending == logic.Broken && !h.conn.link.MayHaveSent(h.endOffset):
 			ending = logic.Unconnected
 		}
 		h.conn.freeSlot(h.id)
-		if (ending == logic.TimedOut || ending == logic.Cancelled || ending == logic.Unreadable) && s.transport.AnswersInOrder() {
+		givenUp := ending == logic.TimedOut || ending == logic.Cancelled || ending == logic.Unreadable
+		switch {
+		case !givenUp:
+		case s.transport.AnswersInOrder():
 			h.conn.link.Close(wire.ErrClosed)
 			s.dropConn(h.conn)
+		default: // other hand-offs are open on the connection, and a cancellation follows this one
+			s.requireDelivery(h.conn, h.endOffset, max(s.now, h.startedAt+s.config.ConnectTimeout))
 		}
 	}
 	s.metrics.endings[ending].Inc()
@@ -232,6 +240,25 @@
 	}
 }
 
+// deliverySlack is how long a worker's system may take to acknowledge what has arrived: acknowledgements are delayed by 40 ms.
+const deliverySlack = logic.Micros(50_000)
+
+// requireDelivery has a connection dropped if the worker's system does not have everything up to an offset by a time.
+func (s *Sentry) requireDelivery(c *pooledConn, offset int64, by logic.Micros) {
+	s.timers.add(timer{due: by, kind: timerDelivery, conn: c, id: uint64(offset)})
+}
+
+// dropIfUndelivered closes a connection on which something up to an offset is still on its way: it would arrive later than it
+// may. The close drops it. Other hand-offs on the connection end as broken.
+func (s *Sentry) dropIfUndelivered(c *pooledConn, offset int64) {
+	if c.closed || c.link.IsAcknowledged(offset) {
+		return
+	}
+	s.metrics.undelivered.Inc()
+	c.link.Close(wire.ErrClosed)
+	s.dropConn(c)
+}
+
 // handleWorkerAnswer handles a worker's answer. An answer to a hand-off that has ended is counted and ignored.
 func (s *Sentry) handleWorkerAnswer(e *event) {
 	c := e.conn
--- a/internal/sentry/metrics.go
+++ b/internal/sentry/metrics.go
@@ -34,6 +34,7 @@
 	lateEnds, fullLists, votes, messagesSent                           prometheus.Counter
 	unknownAttributes, typeMismatches, settingsLoaded, settingsRefused prometheus.Counter
 	handOffsOnOldLists, expiredHandOffs, withheldHandOffs              prometheus.Counter
+	undelivered                                                        prometheus.Counter
 	noRoute                                                            [len(noRouteReasonNames)]prometheus.Counter
 
 	takenByProfile, outcomesByProfile *prometheus.CounterVec
@@ -84,6 +85,8 @@
 		"Hand-offs not sent because the lease on the worker list or the deduplication window that permits them had expired.")
 	m.withheldHandOffs = counter("attempts_withheld_total",
 		"Hand-offs not sent because the conditions under which they were ordered held no more when a connection came free.")
+	m.undelivered = counter("undelivered_total",
+		"Connections to workers closed because a hand-off was still on its way when it was given up or its time to be sent was over.")
 	m.votes = counter("votes_total", "Votes sent.")
 	m.messagesSent = counter("messages_total", "Messages sent to peers.")
 	gauge := func(name, help string, f func() float64) {
--- a/internal/sentry/sentry.go
+++ b/internal/sentry/sentry.go
@@ -125,6 +125,7 @@
 	deadline  logic.Micros
 	sendBy    logic.Micros // it must not be written after this time; 0 if there is no such limit
 	connectBy logic.Micros // it ends if it has no connection by this time
+	endOffset int64        // of its connection, after its last byte
 	ended     bool
 }
 
@@ -326,6 +327,8 @@
 		s.sweep()
 	case timerSave:
 		s.save()
+	case timerDelivery:
+		s.dropIfUndelivered(t.conn, int64(t.id))
 	case timerDialBlocked:
 		s.dialBlockedTimerDue = 0
 		s.dialBlocked()
--- a/internal/sentry/sentry_test.go
+++ b/internal/sentry/sentry_test.go
@@ -238,10 +238,13 @@
 	r := newRig(t, rigOptions{connections: 1})
 	r.updateList(listLine("w", listener.Addr().String()))
 	c := r.testClient()
-	big := make([]byte, 256<<10)
-	for id := uint64(1); id < 200 && !r.hasEnding(logic.Unconnected); id++ {
-		c.link.Put(wire.KindAsk, &wire.Ask{ID: id, Profile: 2, Timeout: 250_000, Payload: big})
+	// The second hand-off does not fit into the sockets behind the first and is still being written when that times out.
+	const count, payloadBytes = 2, 4_000_000
+	for id := uint64(1); id <= count; id++ {
+		c.link.Put(wire.KindAsk, &wire.Ask{ID: id, Profile: 2, Timeout: 250_000 * id, Payload: make([]byte, payloadBytes)})
 		c.link.Flush()
+	}
+	for range count {
 		if a := c.receive(); a.Outcome == uint32(pb.Outcome_SATISFIED) {
 			t.Fatal("satisfied by a worker that reads nothing")
 		}
@@ -791,7 +794,7 @@
 	return incompleteConn{conn}, err
 }
 
-func (incompleteConn) MayHaveReceived(uint64) bool { return false }
+func (incompleteConn) MayHaveSent(int64) bool { return false }
 
 // If a connection breaks before the last byte of a hand-off was sent, the hand-off has not run: even a transaction
 // that is not idempotent is deferred.
--- a/internal/sentry/timers.go
+++ b/internal/sentry/timers.go
@@ -15,6 +15,7 @@
 	timerSave
 	timerCooldownEnd // the cooldown of a connection to a worker has ended
 	timerDialBlocked // a connection may be replaced: see Sentry.blockedWorkers
+	timerDelivery    // what was written to a connection must have been delivered: see dropIfUndelivered
 )
 
 // timer is an entry of the timer heap. A transaction has one timer at most, which is moved when its next deadline
--- a/internal/sentry/transport.go
+++ b/internal/sentry/transport.go
@@ -56,8 +56,11 @@
 	SendHello()               // called once, before any other call
 	SendWork(*wire.Work) bool // false if no byte of it will be sent
 	Cancel(id uint64)
-	MayHaveReceived(id uint64) bool // whether the worker may have received a hand-off completely
-	AnswerStarted(id uint64) bool   // whether a hand-off's answer has arrived in part, or could not be parsed
+	AnswerStarted(id uint64) bool // whether a hand-off's answer has arrived in part, or could not be parsed
+	// PutOffset returns how many bytes were written so far; after SendWork it is the offset at which that hand-off ends.
+	PutOffset() int64
+	MayHaveSent(offset int64) bool    // whether the worker may have received everything up to an offset
+	IsAcknowledged(offset int64) bool // whether the worker's system has everything up to an offset
 	SendProbe(id uint64)
 	Flush()
 	IsClosed() bool
@@ -326,6 +329,5 @@
 func (f *frameWorkerConn) SendWork(m *wire.Work) bool { return f.Put(wire.KindWork, m) }
 func (f *frameWorkerConn) SendProbe(id uint64)        { f.Put(wire.KindProbe, &wire.IDMessage{ID: id}) }
 
-func (f *frameWorkerConn) Cancel(id uint64)            { f.Put(wire.KindCancel, &wire.IDMessage{ID: id}) }
-func (f *frameWorkerConn) MayHaveReceived(uint64) bool { return true }
-func (f *frameWorkerConn) AnswerStarted(uint64) bool   { return false }
+func (f *frameWorkerConn) Cancel(id uint64)          { f.Put(wire.KindCancel, &wire.IDMessage{ID: id}) }
+func (f *frameWorkerConn) AnswerStarted(uint64) bool { return false }
--- a/internal/wire/close.go
+++ b/internal/wire/close.go
@@ -37,9 +37,15 @@
 	}
 	l.fdMu.Lock()
 	defer l.fdMu.Unlock()
-	if !l.fdClosed && !l.dropUndelivered() {
+	if l.fdClosed {
+		return
+	}
+	if !l.dropUndelivered() {
 		_ = syscall.Shutdown(l.fd, syscall.SHUT_RDWR)
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writeEnded = true
 }
 
 // dropUndelivered resets a dialled link if the peer's kernel has not acknowledged everything, and reports whether it did. Nothing is
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -87,7 +87,7 @@
 	memoryPaused bool     // reading is to be paused, since too much of incomplete messages has arrived
 	sendingBytes int64    // of putBytes, those passed to the kernel or being passed to it
 	writtenBytes int64    // of putBytes, those that the kernel has accepted
-	writeFailed  bool     // the last write failed, possibly after a part of its data
+	writeEnded   bool     // the kernel accepts nothing more: the last write failed, or the link was closed
 	closeOnce    sync.Once
 	flushFn      func()
 
@@ -277,11 +277,11 @@
 }
 
 // MayHaveSent reports whether the peer may have received everything that was put up to an offset. It returns false only if
-// that is impossible: the last byte was not passed to the kernel yet, or its write has failed.
+// that is impossible: the last byte was not passed to the kernel yet, or is not going to be.
 func (l *Link) MayHaveSent(offset int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return offset <= l.writtenBytes || offset <= l.sendingBytes && !l.writeFailed
+	return offset <= l.writtenBytes || offset <= l.sendingBytes && !l.writeEnded
 }
 
 // IsAcknowledged reports whether the peer's kernel has acknowledged everything that was put up to an offset. Once it has, nothing
@@ -342,7 +342,7 @@
 		if cap(out) <= maxKeptBytes {
 			l.reusable = out[:0]
 		}
-		l.writeFailed = err != nil
+		l.writeEnded = l.writeEnded || err != nil
 		l.mu.Unlock()
 		if err != nil {
 			l.Close(fmt.Errorf("write: %w", err))
--- a/internal/wire/send.go
+++ b/internal/wire/send.go
@@ -43,10 +43,6 @@
 		n, err := l.sendOnce(out)
 		if n > 0 {
 			out = out[n:]
-			l.mu.Lock()
-			l.writtenBytes += int64(n)
-			l.updateBuffered()
-			l.mu.Unlock()
 			backoff, interruptions = minSendBackoff, 0
 		}
 		switch {
@@ -68,7 +64,8 @@
 	return nil
 }
 
-// sendOnce makes one call, unless the descriptor is closed and its number may be reused.
+// sendOnce makes one call, unless the descriptor is closed and its number may be reused. It counts what the kernel has accepted
+// before Close can end the connection.
 func (l *Link) sendOnce(out []byte) (int, error) {
 	l.fdMu.Lock()
 	defer l.fdMu.Unlock()
@@ -76,7 +73,14 @@
 		return 0, net.ErrClosed
 	}
 	n, err := (*sendSyscall.Load())(l.fd, out)
-	return max(0, n), err
+	if n <= 0 {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writtenBytes += int64(n)
+	l.updateBuffered()
+	return n, err
 }
 
 // isTransient reports whether a system call on a socket that failed with the error may succeed later.
