The process no longer hangs once descriptors have run out

Cause: a netpoll connection that is closed beside the poller while its handler runs makes the poller wait for itself. That happened in two ways, both for want of a descriptor: netpoll accepts on a goroutine of its own after EMFILE, and RunOnPoller used one if its eventfd could not be had at the first use.

Evidence: goroutines of the hanging process at: the poller in FDOperator.unused below onProcess, beside it the goroutine of server.OnRead that accepts.

Fix: Accept never returns EMFILE or ENFILE; a reserve descriptor is given up to accept the connection and close it. The poller's queue and the watcher exist before the first link. Links count their sockets, and from 20 under the limit on accepted connections are closed at once.

--- a/cmd/scalechute/memory_test.go
+++ b/cmd/scalechute/memory_test.go
@@ -74,11 +74,23 @@
 	return addresses
 }
 
+// memoryTestConfig is the part of a process's configuration that tests vary.
+type memoryTestConfig struct {
+	memoryMB, sockets int
+	servers           []string // addresses
+}
+
 // startMemoryTest starts a process with a memory limit, servers at some addresses and 1,024 descriptors.
 func startMemoryTest(t *testing.T, program string, memoryMB int, servers []string) *memoryTest {
+	t.Helper()
+	return startProgram(t, memoryTestConfig{memoryMB: memoryMB, sockets: 1024, servers: servers}, program, "sentry", "--platform")
+}
+
+// startProgram starts a process by a command, and waits until it answers.
+func startProgram(t *testing.T, c memoryTestConfig, command ...string) *memoryTest {
 	t.Helper()
 	var targets []string
-	for i, address := range servers {
+	for i, address := range c.servers {
 		targets = append(targets, fmt.Sprintf(`{"uid":"s-%d","endpoint":%q,"az":"here","pod_group":1,"state":"active","capacity_hint":1,"boot_ms":0,"release":7}`,
 			i, address))
 	}
@@ -88,11 +100,11 @@
 	x := &memoryTest{address: freeAddress(t)}
 	file := filepath.Join(t.TempDir(), "config.json")
 	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":%d,
-	 "sockets":1024},"release_api":{"address":"127.0.0.1:1"},"known":%s,"settings":%s}`, x.address, discovery.address, memoryMB, list, platformSettings)
+	 "sockets":%d},"release_api":{"address":"127.0.0.1:1"},"known":%s,"settings":%s}`, x.address, discovery.address, c.memoryMB, c.sockets, list, platformSettings)
 	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	process := exec.Command(program, "sentry", "--platform")
+	process := exec.Command(command[0], command[1:]...)
 	process.Env = append(os.Environ(), "EDGE_CONFIG="+file)
 	if err := process.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -53,7 +53,7 @@
 func (p *Platform) Listen(s *sentry.Sentry) (string, error) {
 	p.sentry = s
 	server, err := wire.ServeRaw(p.config.Load().Settings.Endpoints.Listen,
-		wire.Limits{MaxFrameBytes: maxValueBytes, MaxPendingBytes: maxUnwrittenBytes, Budget: p.memory.Budget(memory.Replies), Partials: p.partialCommands},
+		wire.Limits{MaxFrameBytes: maxValueBytes, MaxPendingBytes: maxUnwrittenBytes, Budget: p.memory.Budget(memory.Replies), Descriptors: p.descriptors, Partials: p.partialCommands},
 		func(l *wire.Link) (wire.DataHandler, func(*wire.Link, error)) {
 			now := time.Now()
 			c := &clientConn{Link: l, platform: p, lastUsed: now, partialSince: now, reader: resp.Reader{Limits: commandLimits, CommandsOnly: true}}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -165,6 +165,10 @@
 // discovery, the control plane, peers, standard streams, and connections that are closing while others are accepted.
 const reservedSockets = 40
 
+// unlinkedSockets is the part of reservedSockets for what is no connection to a client, a worker or the control plane, and for
+// sockets that are duplicated while they are dialled.
+const unlinkedSockets = 20
+
 // maxClients returns the limit on client connections. Clients that send requests need at most a third of the
 // descriptors.
 func (c *Config) maxClients() int { return c.MaxSockets / 3 }
--- a/internal/platform/control_plane.go
+++ b/internal/platform/control_plane.go
@@ -58,7 +58,7 @@
 // runConn dials address and serves the connection until it ends. useful reports whether WATCH was answered on it.
 func (cp *controlPlane) runConn(address string) (useful bool) {
 	ended := make(chan struct{})
-	link, err := wire.DialRaw(address, dialTimeout, wire.Limits{MaxFrameBytes: maxLineBytes, MaxPendingBytes: maxValueBytes}, cp.read,
+	link, err := wire.DialRaw(address, dialTimeout, wire.Limits{MaxFrameBytes: maxLineBytes, MaxPendingBytes: maxValueBytes, Descriptors: cp.platform.descriptors}, cp.read,
 		func(*wire.Link, error) { close(ended) })
 	if err != nil {
 		cp.platform.log.Warn().Err(err).Msg("desk")
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -37,6 +37,7 @@
 	mu              sync.Mutex // guards clients, openRequests and meanReplyBytes
 	faultTrigger    trigger
 	memory          *memory.Account
+	descriptors     *wire.Descriptors // of the connections to clients, workers and the control plane
 	partialAnswers  *wire.PartialMessages
 	partialCommands *wire.PartialMessages
 	clients         map[*clientConn]struct{}
@@ -50,6 +51,7 @@
 		clients: map[*clientConn]struct{}{}, openRequests: map[string]struct{}{}}
 	p.config.Store(config)
 	p.memory = memory.NewAccount(config.MemoryMB << 20)
+	p.descriptors = wire.NewDescriptors(config.MaxSockets - unlinkedSockets)
 	p.partialCommands = wire.NewPartialMessages(p.memory.Budget(memory.PartialCommands), wire.GiveUpOldest)
 	p.partialAnswers = wire.NewPartialMessages(p.memory.Budget(memory.PartialAnswers), wire.PauseNewest)
 	p.discovery = newDiscovery(p, config.DiscoveryAddress)
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -42,7 +42,7 @@
 // Dial connects to a worker.
 func (p *Platform) Dial(handler sentry.WorkerConnHandler, address string, limit time.Duration) (sentry.WorkerConn, error) {
 	w := &workerConn{platform: p, handler: handler, reader: resp.Reader{Limits: answerLimits}}
-	link, err := wire.DialRaw(address, limit, wire.Limits{MaxFrameBytes: maxValueBytes, MaxPendingBytes: 4 * maxValueBytes, Partials: p.partialAnswers}, w.read,
+	link, err := wire.DialRaw(address, limit, wire.Limits{MaxFrameBytes: maxValueBytes, MaxPendingBytes: 4 * maxValueBytes, Descriptors: p.descriptors, Partials: p.partialAnswers}, w.read,
 		func(_ *wire.Link, reason error) {
 			w.stopStallTimer()
 			handler.ConnectionClosed(reason)
--- a/internal/wire/detach.go
+++ b/internal/wire/detach.go
@@ -352,8 +352,9 @@
 	})
 }
 
-// notifySocketClosed calls onSocketClosed.
+// notifySocketClosed counts that the socket is closed, and calls onSocketClosed.
 func (l *Link) notifySocketClosed() {
+	l.descriptors.add(-1)
 	if l.onSocketClosed != nil {
 		l.onSocketClosed()
 	}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -21,8 +21,9 @@
 	netpoll.SetLoggerOutput(io.Discard) // netpoll logs a line for each connection that is reset
 	// Handlers run on the poller itself: a handler that blocks because a queue is full stops all reading, so that TCP flow
 	// control slows down the senders. (If handlers ran on goroutines of their own, netpoll would go on reading into unbounded
-	// memory while they block.) Handlers block for no other reason. As a consequence a handler must never call the Close of
-	// its netpoll connection, which waits for the poller that the handler runs on; see Link.Close.
+	// memory while they block.) Handlers block for no other reason. As a consequence the Close of a netpoll connection may be
+	// called on the poller alone, and not by the connection's own handler: it waits until the handler does not run, and if it
+	// is called beside the poller and the handler does run, the poller waits for itself for ever. See Link.Close.
 	err := netpoll.Configure(netpoll.Config{PollerNum: 1, Runner: func(_ context.Context, f func()) { f() }})
 	if err != nil {
 		panic(err) // Configure fails only for invalid values
@@ -108,6 +109,7 @@
 	slowReaderTimeout time.Duration
 	partials          *PartialMessages
 	onPartialGivenUp  func() // nil unless partials gives messages up
+	descriptors       *Descriptors
 	onSocketClosed    func() // called once the socket is closed; may be nil
 }
 
@@ -118,6 +120,7 @@
 	// put with PutUnbounded or PutRawUnbounded, but pauses reading while more than this waits.
 	MaxPendingBytes int
 	Budget          *memory.Budget   // of the bytes that wait to be written on a server's links; nil if there is none
+	Descriptors     *Descriptors     // counts the links' sockets; nil if nothing does
 	Partials        *PartialMessages // bounds incomplete messages together with those of other links; nil if nothing does
 	// How long the peer may receive nothing while data waits for it; 0 means defaultSlowReaderTimeout.
 	SlowReaderTimeout time.Duration
@@ -128,12 +131,13 @@
 
 // newLink makes a link of a connection. Its handler may be set later, but before data can arrive.
 func newLink(conn netpoll.Connection, limits Limits, handle DataHandler, onClosed func(*Link, error)) *Link {
-	l := &Link{conn: conn, handle: handle, onClosed: onClosed, maxPending: limits.MaxPendingBytes, slowReaderTimeout: cmp.Or(limits.SlowReaderTimeout, defaultSlowReaderTimeout), budget: limits.Budget, partials: limits.Partials, peerAddr: conn.RemoteAddr()}
+	l := &Link{conn: conn, handle: handle, onClosed: onClosed, maxPending: limits.MaxPendingBytes, slowReaderTimeout: cmp.Or(limits.SlowReaderTimeout, defaultSlowReaderTimeout), budget: limits.Budget, partials: limits.Partials, descriptors: limits.Descriptors, peerAddr: conn.RemoteAddr()}
 	l.flushFn = l.flush
 	l.fd = -1
 	if conn, ok := conn.(netpoll.Conn); ok {
 		l.fd = conn.Fd()
 	}
+	l.descriptors.add(1)
 	l.setConn(conn)
 	return l
 }
@@ -145,6 +149,9 @@
 
 // DialRaw is Dial for a link whose DataHandler handles plain bytes.
 func DialRaw(address string, timeout time.Duration, limits Limits, handle DataHandler, onClosed func(*Link, error)) (*Link, error) {
+	if err := startPoller(); err != nil {
+		return nil, err
+	}
 	conn, err := dial(address, timeout)
 	if err != nil {
 		return nil, err
--- a/internal/wire/listen.go
+++ b/internal/wire/listen.go
@@ -25,9 +25,12 @@
 // listener is a TCP listener for netpoll's event loop. Netpoll's own listener closes its descriptor twice, and between the two
 // closes the number may be reused by another file.
 type listener struct {
-	file      *os.File
-	fd        int
-	addr      net.Addr
+	file        *os.File
+	fd          int
+	addr        net.Addr
+	descriptors *Descriptors // of the accepted connections; may be nil
+	reserve     int          // a descriptor that is given up to accept a connection when none is left, -1 if there is none
+
 	readyOnce sync.Once
 	ready     chan struct{} // closed once the event loop uses the listener
 
@@ -36,7 +39,7 @@
 }
 
 // newListener listens on an address.
-func newListener(address string) (*listener, error) {
+func newListener(address string, descriptors *Descriptors) (*listener, error) {
 	l, err := listen(address)
 	if err != nil {
 		return nil, err
@@ -51,12 +54,27 @@
 		file.Close()
 		return nil, err
 	}
-	return &listener{file: file, fd: fd, addr: l.Addr(), ready: make(chan struct{})}, nil
+	reserve, err := duplicateFD(fd)
+	if err != nil {
+		file.Close()
+		return nil, err
+	}
+	return &listener{file: file, fd: fd, addr: l.Addr(), descriptors: descriptors, reserve: reserve, ready: make(chan struct{})}, nil
 }
 
-// Accept accepts a connection. It returns nil and no error if there is none.
+// Accept accepts a connection. It returns nil and no error if there is none, or if it has closed one for want of descriptors. It
+// never returns EMFILE or ENFILE: netpoll would go on accepting on a goroutine of its own, where nothing that must be done on the
+// poller may be done.
 func (l *listener) Accept() (net.Conn, error) {
+	if l.descriptors.isFull() {
+		l.rejectOne()
+		return nil, nil
+	}
 	fd, peer, err := syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	if err == syscall.EMFILE || err == syscall.ENFILE {
+		l.rejectOneByReserve()
+		return nil, nil
+	}
 	if err == syscall.EAGAIN {
 		return nil, nil
 	}
@@ -67,6 +85,41 @@
 	return &acceptedConn{fd: fd, local: l.addr, remote: tcpAddr(peer)}, nil
 }
 
+// rejectOne accepts a connection and closes it, if there is one and a descriptor for it.
+func (l *listener) rejectOne() {
+	fd, _, err := syscall.Accept4(l.fd, syscall.SOCK_CLOEXEC)
+	switch err {
+	case nil:
+		syscall.Close(fd)
+	case syscall.EMFILE, syscall.ENFILE:
+		l.rejectOneByReserve()
+	}
+}
+
+// rejectBackoff is how long the poller waits before it tries again to accept, if not even the reserve is left.
+const rejectBackoff = time.Millisecond
+
+// rejectOneByReserve closes the reserve so that a connection can be accepted, closes that, and opens the reserve again.
+func (l *listener) rejectOneByReserve() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
+	if l.reserve >= 0 {
+		syscall.Close(l.reserve)
+		if fd, _, err := syscall.Accept4(l.fd, syscall.SOCK_CLOEXEC); err == nil {
+			syscall.Close(fd)
+		}
+	} else {
+		time.Sleep(rejectBackoff)
+	}
+	l.reserve = -1
+	if reserve, err := duplicateFD(l.fd); err == nil {
+		l.reserve = reserve
+	}
+}
+
 // Addr returns the listener's address.
 func (l *listener) Addr() net.Addr { return l.addr }
 
@@ -84,6 +137,9 @@
 		return nil
 	}
 	l.closed = true
+	if l.reserve >= 0 {
+		syscall.Close(l.reserve)
+	}
 	return l.file.Close()
 }
 
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -35,7 +35,10 @@
 
 // ServeRaw is Serve for links whose DataHandler handles plain bytes.
 func ServeRaw(address string, limits Limits, accept func(*Link) (DataHandler, func(*Link, error))) (*Server, error) {
-	listener, err := newListener(address)
+	if err := startPoller(); err != nil {
+		return nil, err
+	}
+	listener, err := newListener(address, limits.Descriptors)
 	if err != nil {
 		return nil, err
 	}
