The release status in an answer to a vote that has timed out is taken

Cause: an answer to a vote that has timed out was ignored as a whole, with the status in it. Only its result is out of date.

Evidence: the case's record has the answer `OK 42 1 Aborting 0 50` written 1.1 s after the vote and attempts at the build until the news on WATCH, 5.4 s later.

Fix: such an answer is delivered as a status without a result; the module takes statuses in their own order.

--- a/internal/sentry/metrics.go
+++ b/internal/sentry/metrics.go
@@ -34,7 +34,7 @@
 	lateEnds, fullLists, votes, messagesSent                           prometheus.Counter
 	unknownAttributes, typeMismatches, settingsLoaded, settingsRefused prometheus.Counter
 	handOffsOnOldLists, expiredHandOffs, withheldHandOffs              prometheus.Counter
-	undelivered                                                        prometheus.Counter
+	undelivered, lateVoteAnswers                                       prometheus.Counter
 	noRoute                                                            [len(noRouteReasonNames)]prometheus.Counter
 
 	takenByProfile, outcomesByProfile *prometheus.CounterVec
@@ -87,6 +87,7 @@
 		"Hand-offs not sent because the conditions under which they were ordered held no more when a connection came free.")
 	m.undelivered = counter("undelivered_total",
 		"Connections to workers closed because a hand-off was still on its way when it was given up or its time to be sent was over.")
+	m.lateVoteAnswers = counter("late_vote_answers_total", "Answers to votes that had timed out, whose release status was taken.")
 	m.votes = counter("votes_total", "Votes sent.")
 	m.messagesSent = counter("messages_total", "Messages sent to peers.")
 	gauge := func(name, help string, f func() float64) {
--- a/internal/sentry/upstream.go
+++ b/internal/sentry/upstream.go
@@ -237,8 +237,9 @@
 
 // Control plane.
 
-// handleReleaseStatus delivers a release status to the module, with the result of the vote that it answers, if any. An
-// answer to a vote that has timed out is ignored.
+// handleReleaseStatus delivers a release status to the module, with the result of the vote that it answers, if any. The
+// answer to a vote that has timed out is out of date as its result, and as true as ever as a status; the module takes it in
+// its order.
 func (s *Sentry) handleReleaseStatus(m *pb.News) {
 	if m.Valid && (!(m.Cap >= 0 && m.Cap <= 1) || m.Phase > uint32(logic.Withdrawn)) {
 		s.metrics.protocolErrors.Inc()
@@ -249,17 +250,15 @@
 	status := logic.ReleaseStatus{Valid: m.Valid, Build: logic.BuildID(m.Build), Stage: int(m.Stage), Phase: logic.Phase(m.Phase),
 		Cap: m.Cap, Age: logic.Micros(min(m.Age, 1<<50))}
 	if m.Vote != 0 {
-		if !s.pendingVotes[m.Vote] {
-			return // the vote has timed out
-		}
+		timedOut := !s.pendingVotes[m.Vote]
 		delete(s.pendingVotes, m.Vote)
-		switch m.Fate {
-		case pb.News_STANDS:
-			status.VoteResult = logic.VoteAccepted
-		case pb.News_MOOT:
-			status.VoteResult = logic.VoteObsolete
+		switch {
+		case timedOut && !m.Valid:
+			return // it tells nothing but the result
+		case timedOut:
+			s.metrics.lateVoteAnswers.Inc()
 		default:
-			status.VoteResult = logic.VoteRefused
+			status.VoteResult = voteResult(m.Fate)
 		}
 	}
 	s.deliver(input.Input{Kind: input.ReleaseUpdated, ReleaseStatus: status})
@@ -268,6 +267,17 @@
 	}
 }
 
+// voteResult converts the result of a vote to the module's form.
+func voteResult(fate pb.News_Fate) logic.VoteResult {
+	switch fate {
+	case pb.News_STANDS:
+		return logic.VoteAccepted
+	case pb.News_MOOT:
+		return logic.VoteObsolete
+	}
+	return logic.VoteRefused
+}
+
 // handleCounts delivers the platform's counts to the module, one input per row.
 func (s *Sentry) handleCounts(m *pb.Counts) {
 	for _, row := range m.Rows {
