Reads without an incomplete message don't touch the account of memory

Cause: each read of a connection took the lock that all links share, also where nothing was incomplete, which is nearly every read.

Change: only links that hold a part of a message, or held one, are counted.

--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -108,6 +108,7 @@
 	budget            *memory.Budget
 	slowReaderTimeout time.Duration
 	partials          *PartialMessages
+	partialCounted    bool   // bytes of partial are counted; used where partial is
 	onPartialGivenUp  func() // nil unless partials gives messages up
 	descriptors       *Descriptors
 	onSocketClosed    func() // called once the socket is closed; may be nil
--- a/internal/wire/partial.go
+++ b/internal/wire/partial.go
@@ -54,13 +54,13 @@
 	}
 }
 
-// makeRoom is called on the poller after a link has received a part of a message. It acts if the budget is exceeded.
+// makeRoom is called on the poller after a link has received data. It acts if the budget is exceeded.
 func (p *PartialMessages) makeRoom(l *Link) {
-	if p.whenFull == PauseNewest {
-		p.pauseUnlessOldest(l)
-		return
-	}
 	for p.budget.Remaining() < 0 {
+		if p.whenFull == PauseNewest {
+			p.pauseUnlessOldest(l)
+			return
+		}
 		oldest := p.oldest()
 		if oldest == nil {
 			return
@@ -70,11 +70,11 @@
 	}
 }
 
-// pauseUnlessOldest stops reading from a link if the budget is exceeded, unless its message is the oldest.
+// pauseUnlessOldest stops reading from a link with an incomplete message, unless that is the oldest.
 func (p *PartialMessages) pauseUnlessOldest(l *Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, incomplete := p.begun[l]; incomplete && p.budget.Remaining() < 0 && p.oldestOf(func(*Link) bool { return true }) != l {
+	if _, incomplete := p.begun[l]; incomplete && p.oldestOf(func(*Link) bool { return true }) != l {
 		l.setMemoryPaused(true)
 	}
 }
@@ -123,13 +123,14 @@
 
 // countPartial notes the memory of the link's incomplete message, if it has a bound.
 func (l *Link) countPartial() {
-	if l.partials == nil {
+	if l.partials == nil || len(l.partial) == 0 && !l.partialCounted {
 		return
 	}
 	bytes := 0
 	if len(l.partial) > 0 {
 		bytes = cap(l.partial)
 	}
+	l.partialCounted = bytes > 0
 	l.partials.count(l, int64(bytes))
 }
 
